--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Targets are named after what they tell you. `make help` lists them.
+GO ?= go
+TOOL = $(GO) tool -modfile=tools/go.mod
+DEMO ?= agency
+BINARIES = citrontray-entry citrontray-lead citrontray citrontray-lab
+DECISIONS = ./internal/cell/... ./internal/placement/... ./internal/queue/... ./internal/settings/... ./internal/spread/... ./internal/custody/...
+
+.PHONY: help build test race fmt fmt-check lint vet demo bench soak capacity ci clean
+
+help: ## list the targets
+	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
+
+build: ## build all binaries into bin/
+	@mkdir -p bin
+	@for b in $(BINARIES); do if [ -d cmd/$$b ]; then $(GO) build -o bin/$$b ./cmd/$$b || exit 1; fi; done
+
+test: ## run all tests
+	$(GO) test ./...
+
+race: ## run the decision packages under the race detector
+	$(GO) test -race -short $$($(GO) list $(DECISIONS) 2>/dev/null)
+
+fmt: ## format the sources
+	$(TOOL) golangci-lint fmt
+
+fmt-check: ## fail where the formatter would change something
+	$(TOOL) golangci-lint fmt --diff
+
+lint: ## run the linter
+	$(TOOL) golangci-lint run ./...
+
+vet: ## run go vet
+	$(GO) vet ./...
+
+ci: ## run everything that CI runs
+	bash .ci/run
+
+clean: ## remove what the targets made
+	rm -rf bin out
--- /dev/null
+++ b/internal/place/place.go
@@ -0,0 +1,61 @@
+// Package place names where things run: regions, zones, hosts and targets.
+package place
+
+import "net/netip"
+
+// Region is the name of a region.
+type Region string
+
+// Zone is the name of an availability zone.
+type Zone string
+
+// Host is the name of an entry host. Every process of the host shares it.
+type Host string
+
+// Target is the name of a target, unique in the whole deployment.
+type Target string
+
+// Incarnation tells one life of a process from the next at the same address.
+type Incarnation uint64
+
+// Liveness is what the platform's lagging list says of a host or target.
+type Liveness uint8
+
+// The states of the platform's list.
+const (
+	Live Liveness = iota
+	Leaving
+	Absent
+)
+
+// String returns the state's word in logs and output.
+func (l Liveness) String() string {
+	switch l {
+	case Live:
+		return "live"
+	case Leaving:
+		return "leaving"
+	case Absent:
+		return "absent"
+	}
+	return "invalid"
+}
+
+// HostRow is one entry host as the platform lists it.
+type HostRow struct {
+	Host  Host
+	Zone  Zone
+	State Liveness
+	// Lead and Entry are the peer addresses (UDP) of the host's processes.
+	Lead  netip.AddrPort
+	Entry netip.AddrPort
+}
+
+// TargetRow is one target as the platform lists it.
+type TargetRow struct {
+	Target  Target
+	Service string
+	Zone    Zone
+	State   Liveness
+	Addr    netip.AddrPort
+}
