--- /dev/null
+++ b/internal/metric/metric.go
@@ -0,0 +1,80 @@
+// Package metric sets up the metrics of a program: tally scopes behind a page
+// that the usual collectors read, with label sets bounded in size.
+package metric
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportInterval is how often tally hands its values to the page.
+const reportInterval = time.Second
+
+// maxLabelValues bounds the values of one label; later ones count as Other.
+const maxLabelValues = 256
+
+// Other stands for all label values past the bound.
+const Other = "other"
+
+// Registry is the root of a program's metrics.
+type Registry struct {
+	tally.Scope
+
+	page   http.Handler
+	closer io.Closer
+
+	mu     sync.Mutex
+	values map[string]map[string]struct{}
+}
+
+// New returns a registry whose names start with prefix.
+func New(prefix string) *Registry {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         prefix,
+		CachedReporter: reporter,
+		Separator:      prometheus.DefaultSeparator,
+	}, reportInterval)
+	return &Registry{
+		Scope:  scope,
+		page:   reporter.HTTPHandler(),
+		closer: closer,
+		values: make(map[string]map[string]struct{}),
+	}
+}
+
+// Handler serves the page /metrics.
+func (r *Registry) Handler() http.Handler { return r.page }
+
+// Close stops reporting.
+func (r *Registry) Close() error { return r.closer.Close() }
+
+// Value returns value, or Other once the label has too many values.
+func (r *Registry) Value(label, value string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.values[label]
+	if known == nil {
+		known = make(map[string]struct{})
+		r.values[label] = known
+	}
+	if _, ok := known[value]; ok {
+		return value
+	}
+	if len(known) >= maxLabelValues {
+		return Other
+	}
+	known[value] = struct{}{}
+	return value
+}
+
+// LatencyBuckets are the bounds of latency histograms: 50 µs to 26 s, doubling.
+func LatencyBuckets() tally.Buckets {
+	const first, count = 50 * time.Microsecond, 20
+	return tally.MustMakeExponentialDurationBuckets(first, 2, count)
+}
