Settings under paths: file format, whole checks, one commit

One compare-and-swap per accepted write; conflicts by path; a lost answer is read back and told by the write's id.

--- /dev/null
+++ b/internal/settings/change.go
@@ -0,0 +1,81 @@
+package settings
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"citrontray.example/citrontray/internal/finding"
+)
+
+// compareNames orders fields in files and documents.
+func compareNames(a, b string) int { return cmp.Compare(a, b) }
+
+// With returns the settings after the changes, checked whole. The error is a
+// *finding.Error with every problem and its place. s itself stays as it is.
+func (s *Settings) With(changes []Change) (*Settings, error) {
+	byPath := make(map[Path]Item)
+	for _, item := range s.Items() {
+		byPath[item.Path] = item
+	}
+	var found finding.List
+	for _, c := range changes {
+		if !c.Delete {
+			byPath[c.Path] = c.Item
+			continue
+		}
+		if _, ok := byPath[c.Path]; !ok {
+			found.Add(c.place(""), "does not exist", "")
+		}
+		delete(byPath, c.Path)
+	}
+	items := slices.SortedFunc(maps.Values(byPath), func(a, b Item) int { return cmp.Compare(a.Path, b.Path) })
+	next := build(items, &found)
+	next.check(byPath, &found)
+	if err := found.Err(); err != nil {
+		return nil, err
+	}
+	next.Revision, next.Number = s.Revision, s.Number
+	next.History, next.newer = s.History, s.newer
+	next.index = newIndex(next)
+	return next, nil
+}
+
+// Difference is one path whose value differs between two settings.
+type Difference struct {
+	Path Path
+	// Before and After are in the file format; empty where there is none.
+	Before, After string
+}
+
+// Diff returns what differs from old to next, sorted by path.
+func Diff(old, next *Settings) []Difference {
+	before, after := itemsByPath(old), itemsByPath(next)
+	paths := maps.Clone(before)
+	maps.Copy(paths, after)
+	var out []Difference
+	for _, p := range slices.Sorted(maps.Keys(paths)) {
+		was, had := before[p]
+		is, has := after[p]
+		if had == has && was.equal(is) {
+			continue
+		}
+		d := Difference{Path: p}
+		if had {
+			d.Before = Format([]Item{was})
+		}
+		if has {
+			d.After = Format([]Item{is})
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
+func itemsByPath(s *Settings) map[Path]Item {
+	out := make(map[Path]Item)
+	for _, item := range s.Items() {
+		out[item.Path] = item
+	}
+	return out
+}
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,271 @@
+package settings
+
+import (
+	"slices"
+	"strings"
+
+	"citrontray.example/citrontray/internal/finding"
+	"citrontray.example/citrontray/internal/key"
+)
+
+// checker checks the references between settings.
+type checker struct {
+	*Settings
+	items    map[Path]Item
+	found    *finding.List
+	services map[key.Service]*Service
+	callers  map[Caller]*CallerRow
+}
+
+// check records every problem between the settings. Items give the places.
+func (s *Settings) check(items map[Path]Item, found *finding.List) {
+	c := checker{
+		Settings: s, items: items, found: found,
+		services: make(map[key.Service]*Service),
+		callers:  make(map[Caller]*CallerRow),
+	}
+	for i := range s.Services {
+		c.service(&s.Services[i])
+	}
+	for i := range s.Callers {
+		c.caller(&s.Callers[i])
+	}
+	for i := range s.Routes {
+		c.route(&s.Routes[i])
+	}
+	for i := range s.Limits {
+		c.limit(&s.Limits[i])
+	}
+	for i := range s.Grants {
+		c.delegation(&s.Grants[i])
+	}
+	c.overlaps()
+	c.credentials()
+}
+
+// add records a problem of a field at path.
+func (c *checker) add(path Path, field, problem, mend string) {
+	c.found.Add(c.items[path].place(field), problem, mend)
+}
+
+func servicePath(s *Service) Path   { return join(teamsRoot, string(s.Team), "services", string(s.Name)) }
+func routePath(r *Route) Path       { return join(teamsRoot, string(r.Team), "routes", r.Name) }
+func callerPath(r *CallerRow) Path  { return join(teamsRoot, string(r.Team), "callers", string(r.Name)) }
+func limitPath(l *Limit) Path {
+	return join(teamsRoot, string(l.Team), "limits", string(l.Caller), string(l.Class))
+}
+
+func delegationPath(d *Delegation) Path {
+	if d.Team == "" {
+		return join(platformRoot, "delegations", d.Operator)
+	}
+	return join(teamsRoot, string(d.Team), "delegations", d.Operator)
+}
+
+func (c *checker) service(s *Service) {
+	path := servicePath(s)
+	if other, ok := c.services[s.Name]; ok {
+		c.add(path, "", "has the name of a service of team "+string(other.Team), "names of services are unique in the deployment")
+	}
+	c.services[s.Name] = s
+	if !s.Shards.Valid() {
+		c.add(path, "shards", "is not a power of two", "")
+	}
+	if len(s.Zones) == 0 {
+		c.add(path, "zones", "names no zone", "a service needs targets somewhere")
+	}
+	for _, t := range s.Targets {
+		if !slices.Contains(s.Zones, t.Zone) {
+			c.add(path, "targets", "puts "+string(t.Target)+" into a zone that is not in zones", "")
+		}
+	}
+	for i, a := range s.Shares {
+		for _, b := range s.Shares[:i] {
+			if prefixesOverlap(a.Prefix, b.Prefix) {
+				c.add(path, "shares", "gives "+string(b.Team)+" and "+string(a.Team)+" prefixes that overlap", "neither may start with the other")
+			}
+		}
+		if a.Team == s.Team {
+			c.add(path, "shares", "names the service's own team", "")
+		}
+	}
+}
+
+func (c *checker) caller(r *CallerRow) {
+	if other, ok := c.callers[r.Name]; ok {
+		c.add(callerPath(r), "", "has the name of a caller of team "+string(other.Team), "names of callers are unique in the deployment")
+	}
+	c.callers[r.Name] = r
+	if !validName(string(r.Tenant)) {
+		c.add(callerPath(r), "tenant", "is not a name", "")
+	}
+}
+
+func (c *checker) route(r *Route) {
+	path := routePath(r)
+	c.routeService(path, r)
+	for _, name := range r.Callers {
+		caller, ok := c.callers[name]
+		switch {
+		case !ok:
+			c.add(path, "callers", "names the caller "+string(name)+", which is not there", "add it or take it out")
+		case caller.Team != r.Team:
+			c.add(path, "callers", "names the caller "+string(name)+" of team "+string(caller.Team), "")
+		}
+	}
+	if len(r.Callers) == 0 {
+		c.add(path, "callers", "names no caller", "")
+	}
+	if len(r.Methods) == 0 {
+		c.add(path, "methods", "names no method", "")
+	}
+	if problem := pathProblem(r); problem != "" {
+		c.add(path, "path", problem, "such as /balance/{key}")
+	}
+	if slices.Contains(r.Methods, "GET") && !r.Idempotent {
+		c.add(path, "idempotent", "is false for a route that takes GET", "GET is idempotent by its definition; give the others a route of their own")
+	}
+}
+
+// routeService checks that the route's team may use the service.
+func (c *checker) routeService(path Path, r *Route) {
+	s, ok := c.services[r.Service]
+	if !ok {
+		c.add(path, "service", "names the service "+string(r.Service)+", which is not there", "add it or take the route out")
+		return
+	}
+	if s.Team == r.Team {
+		return
+	}
+	at := slices.IndexFunc(s.Shares, func(h Share) bool { return h.Team == r.Team })
+	if at < 0 {
+		c.add(path, "service", "names a service of team "+string(s.Team)+" that it does not share", "its shares must name "+string(r.Team))
+		return
+	}
+	if want := s.Shares[at].Prefix; !strings.HasPrefix(r.KeyPrefix, want) {
+		c.add(path, "prefix", "does not start with "+want, "the service shares only these keys")
+	}
+}
+
+// pathProblem says what is wrong with a route's pattern.
+func pathProblem(r *Route) string {
+	if !strings.HasPrefix(r.Path, "/") {
+		return "does not start with /"
+	}
+	holes := 0
+	for part := range strings.SplitSeq(r.Path[1:], "/") {
+		open, shut := strings.Count(part, "{"), strings.Count(part, "}")
+		if open == 0 && shut == 0 {
+			continue
+		}
+		if open != 1 || shut != 1 || part[0] != '{' || part[len(part)-1] != '}' {
+			return "has a part that is half a placeholder"
+		}
+		if part != "{"+r.KeyName+"}" || r.KeySource != KeyInPath {
+			return "has a placeholder that is not the key"
+		}
+		holes++
+	}
+	if r.KeySource == KeyInPath && holes != 1 {
+		return "does not have the placeholder {" + r.KeyName + "} once"
+	}
+	return ""
+}
+
+func (c *checker) limit(l *Limit) {
+	caller, ok := c.callers[l.Caller]
+	if !ok || caller.Team != l.Team {
+		c.add(limitPath(l), "", "is for a caller that the team does not have", "")
+	}
+	switch l.Class {
+	case Interactive, Registering, Bulk:
+	default:
+		c.add(limitPath(l), "", "is for a class that is not there", "interactive, registering or bulk")
+	}
+}
+
+func (c *checker) delegation(d *Delegation) {
+	own := join(teamsRoot, string(d.Team))
+	for _, below := range d.Below {
+		if d.Team != "" && !own.Covers(below) {
+			c.add(delegationPath(d), "below", "reaches out of the team's own paths", "paths start with "+string(own))
+		}
+	}
+	if len(d.Below) == 0 {
+		c.add(delegationPath(d), "below", "names no path", "")
+	}
+}
+
+// prefixesOverlap reports whether one prefix starts with the other.
+func prefixesOverlap(a, b string) bool {
+	return strings.HasPrefix(a, b) || strings.HasPrefix(b, a)
+}
+
+// overlaps records routes to one service whose keys overlap although their
+// teams or tenants differ: each would see what belongs to the other.
+func (c *checker) overlaps() {
+	for i := range c.Routes {
+		for j := range i {
+			a, b := &c.Routes[j], &c.Routes[i]
+			if a.Service != b.Service || !prefixesOverlap(a.KeyPrefix, b.KeyPrefix) {
+				continue
+			}
+			switch {
+			case a.Team != b.Team:
+				c.add(routePath(b), "prefix", "overlaps the keys of "+string(routePath(a)), "neither prefix may start with the other")
+			case !c.sameTenant(a, b):
+				c.add(routePath(b), "prefix", "gives another tenant the keys of "+string(routePath(a)), "neither prefix may start with the other")
+			}
+			if c.ambiguous(a, b) {
+				c.add(routePath(b), "path", "takes the same requests as "+string(routePath(a)), "a caller's method and path must lead to one route")
+			}
+		}
+	}
+}
+
+// sameTenant reports whether all callers of both routes are of one tenant.
+func (c *checker) sameTenant(a, b *Route) bool {
+	tenants := make(map[Tenant]bool)
+	for _, names := range [][]Caller{a.Callers, b.Callers} {
+		for _, name := range names {
+			if row, ok := c.callers[name]; ok {
+				tenants[row.Tenant] = true
+			}
+		}
+	}
+	return len(tenants) <= 1
+}
+
+// ambiguous reports whether one request could match both routes.
+func (c *checker) ambiguous(a, b *Route) bool {
+	shares := func(x, y []string) bool {
+		return slices.ContainsFunc(x, func(v string) bool { return slices.Contains(y, v) })
+	}
+	callers := slices.ContainsFunc(a.Callers, func(v Caller) bool { return slices.Contains(b.Callers, v) })
+	return callers && shares(a.Methods, b.Methods) && patternsMeet(a.Path, b.Path)
+}
+
+// patternsMeet reports whether some path matches both patterns.
+func patternsMeet(a, b string) bool {
+	x, y := strings.Split(a, "/"), strings.Split(b, "/")
+	return slices.EqualFunc(x, y, func(p, q string) bool {
+		return p == q || strings.HasPrefix(p, "{") || strings.HasPrefix(q, "{")
+	})
+}
+
+// credentials records hashes that two callers or two operators share.
+func (c *checker) credentials() {
+	seen := make(map[[32]byte]Path)
+	note := func(path Path, hash [32]byte) {
+		if other, ok := seen[hash]; ok {
+			c.add(path, "credential", "is that of "+string(other), "each needs one of its own")
+		}
+		seen[hash] = path
+	}
+	for i := range c.Callers {
+		note(callerPath(&c.Callers[i]), c.Callers[i].CredentialHash)
+	}
+	for i := range c.Grants {
+		note(delegationPath(&c.Grants[i]), c.Grants[i].CredentialHash)
+	}
+}
--- /dev/null
+++ b/internal/settings/codec.go
@@ -0,0 +1,179 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/zstd"
+
+	"citrontray.example/citrontray/internal/finding"
+	"citrontray.example/citrontray/internal/platform"
+)
+
+// documentVersion is raised where older releases could misread a document.
+const documentVersion = 1
+
+// MaxDocumentBytes bounds the encoded document; the platform's service takes
+// values up to a megabyte.
+const MaxDocumentBytes = 1_000_000
+
+// maxPlainBytes bounds the document before compression.
+const maxPlainBytes = 32 << 20
+
+// ErrTooLarge is returned by Commit for settings past MaxDocumentBytes.
+var ErrTooLarge = errors.New("settings: document too large")
+
+type wireDocument struct {
+	Version uint        `cbor:"1,keyasint"`
+	Number  uint64      `cbor:"2,keyasint"`
+	Items   []wireItem  `cbor:"3,keyasint"`
+	History []wireWrite `cbor:"4,keyasint"`
+}
+
+type wireItem struct {
+	Path   string      `cbor:"1,keyasint"`
+	Fields []wireField `cbor:"2,keyasint"`
+}
+
+type wireField struct {
+	Name   string   `cbor:"1,keyasint"`
+	List   bool     `cbor:"2,keyasint,omitempty"`
+	Values []string `cbor:"3,keyasint"`
+}
+
+type wireWrite struct {
+	ID     string   `cbor:"1,keyasint"`
+	Number uint64   `cbor:"2,keyasint"`
+	At     int64    `cbor:"3,keyasint"` // Unix milliseconds
+	By     string   `cbor:"4,keyasint"`
+	Reason string   `cbor:"5,keyasint"`
+	Paths  []string `cbor:"6,keyasint"`
+	Before []string `cbor:"7,keyasint"`
+}
+
+var (
+	packer, _   = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+	unpacker, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxPlainBytes))
+	plainMode   = mustMode()
+)
+
+func mustMode() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err) // fixed options, checked by every test
+	}
+	return mode
+}
+
+// Encode returns the document of s: the same settings give the same bytes.
+// Revision is the store's and not part of it.
+func Encode(s *Settings) []byte {
+	doc := wireDocument{Version: documentVersion, Number: s.Number}
+	for _, item := range s.Items() {
+		doc.Items = append(doc.Items, toWire(item))
+	}
+	for _, w := range s.History {
+		doc.History = append(doc.History, writeToWire(w))
+	}
+	body, err := plainMode.Marshal(doc)
+	if err != nil {
+		panic(err) // plain structs of strings and numbers always encode
+	}
+	return packer.EncodeAll(body, nil)
+}
+
+// Decode reads a document. Fields and paths of a later release are left out;
+// such settings can be read, but Commit refuses to write over them.
+func Decode(body []byte) (*Settings, error) {
+	flat, err := unpacker.DecodeAll(body, nil)
+	if err != nil {
+		return nil, fmt.Errorf("settings: decompress: %w", err)
+	}
+	var doc wireDocument
+	if err := cbor.Unmarshal(flat, &doc); err != nil {
+		return nil, fmt.Errorf("settings: decode: %w", err)
+	}
+	if doc.Version == 0 || doc.Version > documentVersion {
+		return nil, fmt.Errorf("settings: document version %d, this release reads up to %d", doc.Version, documentVersion)
+	}
+	items, newer := knownItems(doc.Items)
+	var found finding.List
+	s := build(items, &found)
+	if err := found.Err(); err != nil {
+		return nil, fmt.Errorf("settings: document: %w", err)
+	}
+	s.Number, s.newer = doc.Number, newer
+	for _, w := range doc.History {
+		s.History = append(s.History, writeFromWire(w))
+	}
+	s.index = newIndex(s)
+	return s, nil
+}
+
+// decodeEntry reads the document as the store returned it.
+func decodeEntry(e platform.Entry) (*Settings, error) {
+	s, err := Decode(e.Value)
+	if err != nil {
+		return nil, err
+	}
+	s.Revision = e.Revision
+	return s, nil
+}
+
+// knownItems maps items and leaves out what this release does not know.
+func knownItems(wire []wireItem) (items []Item, newer bool) {
+	for _, w := range wire {
+		k := kindOf(Path(w.Path))
+		if k == nil {
+			newer = true
+			continue
+		}
+		item := Item{Path: Path(w.Path)}
+		known := k.describe()
+		for _, f := range w.Fields {
+			if !known.has(f.Name) {
+				newer = true
+				continue
+			}
+			item.Fields = append(item.Fields, Field{Name: f.Name, List: f.List, Values: f.Values})
+		}
+		items = append(items, item)
+	}
+	return items, newer
+}
+
+// has reports whether the kind has a field of that name.
+func (k Kind) has(name string) bool {
+	for _, f := range k.Fields {
+		if f.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func toWire(item Item) wireItem {
+	w := wireItem{Path: string(item.Path)}
+	for _, f := range item.Fields {
+		w.Fields = append(w.Fields, wireField{Name: f.Name, List: f.List, Values: f.Values})
+	}
+	return w
+}
+
+func writeToWire(w Write) wireWrite {
+	out := wireWrite{ID: w.ID, Number: w.Number, At: w.At.UnixMilli(), By: w.By, Reason: w.Reason, Before: w.Before}
+	for _, p := range w.Paths {
+		out.Paths = append(out.Paths, string(p))
+	}
+	return out
+}
+
+func writeFromWire(w wireWrite) Write {
+	out := Write{ID: w.ID, Number: w.Number, At: time.UnixMilli(w.At).UTC(), By: w.By, Reason: w.Reason, Before: w.Before}
+	for _, p := range w.Paths {
+		out.Paths = append(out.Paths, Path(p))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/settings/commit.go
@@ -0,0 +1,328 @@
+package settings
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"citrontray.example/citrontray/internal/finding"
+	"citrontray.example/citrontray/internal/platform"
+)
+
+// maxHistory and maxHistoryBytes bound the writes kept in the document.
+const (
+	maxHistory      = 200
+	maxHistoryBytes = 4 << 20
+)
+
+// maxAttempts bounds the compare-and-swaps of one commit.
+const maxAttempts = 64
+
+// retryPause is the wait before asking again after a lost answer.
+const retryPause = 20 * time.Millisecond
+
+// ErrNotAccepted is returned where the store is out and the write has
+// certainly not taken effect.
+var ErrNotAccepted = errors.New("settings: not accepted, the store is unavailable")
+
+// ErrUnresolved is returned where the answer of the write was lost and the
+// store could not be read since: the write may have taken effect. The same
+// Request, with the same ID, may be sent again at any time.
+var ErrUnresolved = errors.New("settings: outcome unknown, the write may have taken effect")
+
+// ErrNewer is returned by Commit for a document with fields that this release
+// does not know: writing would drop them.
+var ErrNewer = errors.New("settings: written by a later release, use that one to write")
+
+// ConflictError tells the loser of a race who won.
+type ConflictError struct {
+	// Path is the first path of the request that another write changed.
+	Path Path
+	// Winner is the newest accepted write that did.
+	Winner Write
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("settings: %s was changed at revision %d by %s", e.Path, e.Winner.Number, e.Winner.By)
+}
+
+// Request is one write: a set of changes, accepted whole or not at all.
+type Request struct {
+	// ID tells the write from all others; a repeated ID is applied once.
+	// Commit makes one where it is empty.
+	ID      string
+	Changes []Change
+	// Rollback, where above zero, asks for the values that were in force
+	// after that number, in place of Changes.
+	Rollback uint64
+	// Expect is the number of the settings that the writer saw. The write
+	// conflicts where one of its paths changed since. Zero: whatever is there.
+	Expect uint64
+	By     string
+	Reason string
+	// DryRun checks and returns the settings as they would be.
+	DryRun bool
+	// Permit is asked on each attempt with the settings in force and the
+	// changes; its error refuses the write.
+	Permit func(current *Settings, changes []Change) error
+}
+
+// Committer writes settings to the platform's service. Safe for concurrent use.
+type Committer struct{ store platform.Store }
+
+// NewCommitter returns a committer on store.
+func NewCommitter(store platform.Store) *Committer { return &Committer{store: store} }
+
+// Load returns the settings in force; a store without any gives empty ones.
+func (c *Committer) Load(ctx context.Context) (*Settings, error) {
+	entry, err := c.store.Get(ctx, StorePath)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return &Settings{}, nil
+	case err != nil:
+		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	return decodeEntry(entry)
+}
+
+// attempt is one commit under way.
+type attempt struct {
+	*Committer
+	Request
+	// doubt is set while a write of this request may still take effect.
+	doubt bool
+	// base and next are of the compare-and-swap in doubt.
+	base, next *Settings
+}
+
+// Commit makes the request accepted by one compare-and-swap and returns the
+// settings with it. Errors: *finding.Error, *ConflictError, ErrNotAccepted,
+// ErrUnresolved, ErrNewer, ErrTooLarge, and that of Permit. Present time now
+// goes into the history.
+func (c *Committer) Commit(ctx context.Context, now time.Time, req Request) (*Settings, error) {
+	if req.ID == "" {
+		req.ID = uuid.NewString()
+	}
+	a := &attempt{Committer: c, Request: req}
+	for range maxAttempts {
+		done, err := a.try(ctx, now)
+		if err != nil || done != nil {
+			return done, err
+		}
+	}
+	return nil, a.unreachable(errors.New("the store keeps answering with old values"))
+}
+
+// try makes one compare-and-swap; nil and nil stand for another try.
+func (a *attempt) try(ctx context.Context, now time.Time) (*Settings, error) {
+	current, err := a.Load(ctx)
+	if errors.Is(err, platform.ErrUnavailable) {
+		return nil, a.later(ctx, err)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if slices.ContainsFunc(current.History, func(w Write) bool { return w.ID == a.ID }) {
+		return current, nil
+	}
+	// A write in doubt can only win at the revision it expects: once another
+	// revision is there, it has lost for good. At the same one it is sent
+	// again, with the same id, and one of both wins.
+	if a.doubt && current.Revision == a.base.Revision {
+		return a.write(ctx)
+	}
+	if a.doubt && current.Revision < a.base.Revision {
+		return nil, a.later(ctx, errors.New("the store answers with an old value"))
+	}
+	a.doubt = false
+	if err := a.prepare(now, current); err != nil {
+		return nil, err
+	}
+	if a.DryRun {
+		return a.next, nil
+	}
+	return a.write(ctx)
+}
+
+// prepare makes the next settings out of the current ones.
+func (a *attempt) prepare(now time.Time, current *Settings) error {
+	if current.newer {
+		return ErrNewer
+	}
+	changes := a.Changes
+	if a.Rollback > 0 {
+		var err error
+		if changes, err = current.rollback(a.Rollback); err != nil {
+			return err
+		}
+	}
+	if a.Permit != nil {
+		if err := a.Permit(current, changes); err != nil {
+			return err
+		}
+	}
+	if err := current.conflict(changes, a.Expect); err != nil {
+		return err
+	}
+	next, err := current.With(changes)
+	if err != nil {
+		return err
+	}
+	next.Number = current.Number + 1
+	next.History = current.record(now, a.Request, changes)
+	if len(Encode(next)) > MaxDocumentBytes {
+		return ErrTooLarge
+	}
+	a.base, a.next = current, next
+	return nil
+}
+
+// write sends the prepared document.
+func (a *attempt) write(ctx context.Context) (*Settings, error) {
+	revision, err := a.store.Write(ctx, StorePath, Encode(a.next), a.base.Revision)
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		a.next.Revision = revision
+		return a.next, nil
+	case errors.As(err, &conflict):
+		return nil, nil
+	case errors.Is(err, platform.ErrUnavailable):
+		return nil, a.later(ctx, err)
+	default:
+		a.doubt = true
+		return nil, a.later(ctx, err)
+	}
+}
+
+// later waits before another try, or gives up where nothing is in doubt.
+func (a *attempt) later(ctx context.Context, cause error) error {
+	if !a.doubt {
+		return a.unreachable(cause)
+	}
+	select {
+	case <-time.After(retryPause):
+		return nil
+	case <-ctx.Done():
+		return a.unreachable(cause)
+	}
+}
+
+// unreachable tells certain failure from an unknown outcome.
+func (a *attempt) unreachable(cause error) error {
+	if a.doubt {
+		return fmt.Errorf("%w (write %s): %w", ErrUnresolved, a.ID, cause)
+	}
+	return fmt.Errorf("%w: %w", ErrNotAccepted, cause)
+}
+
+// conflict reports whether one of the changed paths was written after expect.
+func (s *Settings) conflict(changes []Change, expect uint64) error {
+	if expect == 0 || expect >= s.Number {
+		return nil
+	}
+	for _, w := range slices.Backward(s.History) {
+		if w.Number <= expect {
+			return nil
+		}
+		for _, c := range changes {
+			if slices.Contains(w.Paths, c.Path) {
+				return &ConflictError{Path: c.Path, Winner: w}
+			}
+		}
+	}
+	if len(s.History) > 0 && s.History[0].Number <= expect+1 {
+		return nil
+	}
+	// The history does not reach back that far: nobody can tell.
+	newest := Write{Number: s.Number}
+	if len(s.History) > 0 {
+		newest = s.History[len(s.History)-1]
+	}
+	return &ConflictError{Path: changes[0].Path, Winner: newest}
+}
+
+// record returns the history with the request added, within bounds.
+func (s *Settings) record(now time.Time, req Request, changes []Change) []Write {
+	w := Write{ID: req.ID, Number: s.Number + 1, At: now, By: req.By, Reason: req.Reason}
+	before := itemsByPath(s)
+	for _, c := range changes {
+		w.Paths = append(w.Paths, c.Path)
+		text := ""
+		if item, ok := before[c.Path]; ok {
+			text = Format([]Item{item})
+		}
+		w.Before = append(w.Before, text)
+	}
+	history := append(slices.Clone(s.History), w)
+	size := 0
+	for i, w := range slices.Backward(history) {
+		size += w.bytes()
+		if len(history)-i > maxHistory || size > maxHistoryBytes && i < len(history)-1 {
+			return history[i+1:]
+		}
+	}
+	return history
+}
+
+// bytes estimates the size of a write in the document.
+func (w Write) bytes() int {
+	n := len(w.ID) + len(w.By) + len(w.Reason)
+	for i, p := range w.Paths {
+		n += len(p) + len(w.Before[i])
+	}
+	return n
+}
+
+// rollback returns the changes that lead back to the values after number.
+func (s *Settings) rollback(number uint64) ([]Change, error) {
+	var found finding.List
+	if number >= s.Number {
+		found.Addf("revision", "%d is not before the one in force, %d", number, s.Number)
+		return nil, found.Err()
+	}
+	if len(s.History) == 0 || s.History[0].Number > number+1 {
+		found.Addf("revision", "%d is past the kept history", number)
+		return nil, found.Err()
+	}
+	former := make(map[Path]string)
+	for _, w := range slices.Backward(s.History) {
+		if w.Number <= number {
+			break
+		}
+		for i, p := range w.Paths {
+			former[p] = w.Before[i]
+		}
+	}
+	return s.changesTo(former)
+}
+
+// changesTo returns the changes that give each path its former text.
+func (s *Settings) changesTo(former map[Path]string) ([]Change, error) {
+	present := itemsByPath(s)
+	var changes []Change
+	for path, text := range former {
+		item, ok := present[path]
+		if text == "" {
+			if ok {
+				changes = append(changes, Change{Item: Item{Path: path}, Delete: true})
+			}
+			continue
+		}
+		if ok && Format([]Item{item}) == text {
+			continue
+		}
+		back, err := Parse([]byte(text))
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, back...)
+	}
+	slices.SortFunc(changes, func(a, b Change) int { return compareNames(string(a.Path), string(b.Path)) })
+	return changes, nil
+}
--- /dev/null
+++ b/internal/settings/format.go
@@ -0,0 +1,64 @@
+package settings
+
+import (
+	"strconv"
+	"strings"
+)
+
+// Format returns items as a settings file that Parse reads back.
+func Format(items []Item) string {
+	var b strings.Builder
+	for i, item := range items {
+		if i > 0 {
+			b.WriteByte('\n')
+		}
+		b.WriteString(string(item.Path))
+		b.WriteString(":")
+		if len(item.Fields) == 0 {
+			b.WriteString(" {}")
+		}
+		b.WriteByte('\n')
+		for _, f := range item.Fields {
+			b.WriteString("  " + f.Name + ":" + fieldText(f) + "\n")
+		}
+	}
+	return b.String()
+}
+
+// fieldText returns the value of a field as it stands after the colon.
+func fieldText(f Field) string {
+	if !f.List {
+		return " " + scalar(f.Values[0])
+	}
+	quoted := make([]string, len(f.Values))
+	for i, v := range f.Values {
+		quoted[i] = scalar(v)
+	}
+	return " [" + strings.Join(quoted, ", ") + "]"
+}
+
+// plain reports whether a value may stand without quotes: digits, letters and
+// a few signs, and not one of YAML's own words.
+func plain(v string) bool {
+	switch strings.ToLower(v) {
+	case "", "null", "~", "yes", "no", "on", "off", "y", "n":
+		return false
+	}
+	for _, r := range v {
+		switch {
+		case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9':
+		case strings.ContainsRune("/._", r):
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// scalar returns v as YAML that reads back as the same text.
+func scalar(v string) string {
+	if plain(v) || plain(strings.ReplaceAll(v, "-", "")) && v[0] != '-' {
+		return v
+	}
+	return strconv.Quote(v)
+}
--- /dev/null
+++ b/internal/settings/schema_platform.go
@@ -0,0 +1,152 @@
+package settings
+
+import "citrontray.example/citrontray/internal/place"
+
+// delegationFields are the fields of all delegations.
+func delegationFields() []field[Delegation] {
+	type row = Delegation
+	return []field[row]{
+		{"below", formList, "paths that the credential may write, with all below them", "", true, list(func(r *row) *[]Path { return &r.Below }, validSubtree)},
+		{"credential", formText, "sha256: and the hash, as citrontray credential prints it", "", true, hash(func(r *row) *[32]byte { return &r.CredentialHash })},
+	}
+}
+
+// validSubtree reports whether s may be the top of a delegated subtree.
+func validSubtree(s string) bool {
+	parts := Path(s).parts()
+	if parts[0] != teamsRoot && parts[0] != platformRoot {
+		return false
+	}
+	for _, p := range parts {
+		if !validName(p) {
+			return false
+		}
+	}
+	return true
+}
+
+// delegationRows lists the delegations of all levels; both kinds share them.
+func delegationRows(s *Settings) *[]Delegation { return &s.Grants }
+
+func teamDelegationKind() kind {
+	return &scoped[Delegation]{
+		table: table[Delegation]{
+			paths:  "teams/*/delegations/*",
+			about:  "An operator of a team: a credential that may write below some paths of the team.",
+			fields: delegationFields(),
+			rows:   delegationRows,
+			names:  func(r *Delegation, names []string) { r.Team, r.Operator = Team(names[0]), names[1] },
+			path:   func(r *Delegation) []string { return []string{string(r.Team), r.Operator} },
+		},
+		belongs: func(r *Delegation) bool { return r.Team != "" },
+	}
+}
+
+func delegationKind() kind {
+	return &scoped[Delegation]{
+		table: table[Delegation]{
+			paths:  "platform/delegations/*",
+			about:  "An operator of the platform: a credential that may write below some paths.",
+			fields: delegationFields(),
+			rows:   delegationRows,
+			names:  func(r *Delegation, names []string) { r.Operator = names[0] },
+			path:   func(r *Delegation) []string { return []string{r.Operator} },
+		},
+		belongs: func(r *Delegation) bool { return r.Team == "" },
+	}
+}
+
+// scoped is a kind that shares its rows with another kind.
+type scoped[R any] struct {
+	table[R]
+	belongs func(*R) bool
+}
+
+// items implements kind.
+func (k *scoped[R]) items(s *Settings) []Item {
+	var out []Item
+	rows := *k.rows(s)
+	for i := range rows {
+		if k.belongs(&rows[i]) {
+			out = append(out, k.item(&rows[i]))
+		}
+	}
+	return out
+}
+
+func drainFields() []field[Drain] {
+	return []field[Drain]{
+		{"reason", formText, "why, for the others", "", true, text(func(r *Drain) *string { return &r.Reason }, maxTextBytes)},
+	}
+}
+
+func drainRows(s *Settings) *[]Drain { return &s.Drains }
+
+func drainTargetKind() kind {
+	return &scoped[Drain]{
+		table: table[Drain]{
+			paths: "platform/drains/targets/*", fields: drainFields(), rows: drainRows,
+			about: "A target that gets no new work; its shards move away as planned moves.",
+			names: func(r *Drain, names []string) { r.Target = place.Target(names[0]) },
+			path:  func(r *Drain) []string { return []string{string(r.Target)} },
+		},
+		belongs: func(r *Drain) bool { return r.Target != "" },
+	}
+}
+
+func drainZoneKind() kind {
+	return &scoped[Drain]{
+		table: table[Drain]{
+			paths: "platform/drains/zones/*", fields: drainFields(), rows: drainRows,
+			about: "An availability zone whose targets get no new work.",
+			names: func(r *Drain, names []string) { r.Zone = place.Zone(names[0]) },
+			path:  func(r *Drain) []string { return []string{string(r.Zone)} },
+		},
+		belongs: func(r *Drain) bool { return r.Zone != "" },
+	}
+}
+
+func lossFields() []field[Loss] {
+	return []field[Loss]{
+		{"by", formText, "who declares it", "", true, text(func(r *Loss) *string { return &r.By }, maxTextBytes)},
+		{"reason", formText, "how it is known that the thing is off and stays off", "", true, text(func(r *Loss) *string { return &r.Reason }, maxTextBytes)},
+	}
+}
+
+func lossRows(s *Settings) *[]Loss { return &s.Losses }
+
+func lossTargetKind() kind {
+	return &scoped[Loss]{
+		table: table[Loss]{
+			paths: "platform/losses/targets/*", fields: lossFields(), rows: lossRows,
+			about: "A target declared lost: its shards get new owners at once. It must be switched off first.",
+			names: func(r *Loss, names []string) { r.Target = place.Target(names[0]) },
+			path:  func(r *Loss) []string { return []string{string(r.Target)} },
+		},
+		belongs: func(r *Loss) bool { return r.Target != "" },
+	}
+}
+
+func lossHostKind() kind {
+	return &scoped[Loss]{
+		table: table[Loss]{
+			paths: "platform/losses/hosts/*", fields: lossFields(), rows: lossRows,
+			about: "An entry host declared lost: it counts as one that renews nothing. It must be switched off first.",
+			names: func(r *Loss, names []string) { r.Host = place.Host(names[0]) },
+			path:  func(r *Loss) []string { return []string{string(r.Host)} },
+		},
+		belongs: func(r *Loss) bool { return r.Host != "" },
+	}
+}
+
+func lossZoneKind() kind {
+	return &scoped[Loss]{
+		table: table[Loss]{
+			paths: "platform/losses/zones/*", fields: lossFields(), rows: lossRows,
+			about: "An availability zone declared lost: other zones take its shards. All of it must be off or cut off for good.",
+			names: func(r *Loss, names []string) { r.Zone = place.Zone(names[0]) },
+			path:  func(r *Loss) []string { return []string{string(r.Zone)} },
+		},
+		belongs: func(r *Loss) bool { return r.Zone != "" },
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,6 +47,11 @@
 	Losses   []Loss
 	// History holds the newest accepted writes, oldest first, bounded.
 	History []Write
+
+	index *index
+	// newer tells that a later release wrote fields that this one does not
+	// know: such a document may be read but not written over.
+	newer bool
 }
 
 // Service is a service with a key space of its own.
@@ -69,6 +74,14 @@
 	WarmUp time.Duration
 	// BodyBytes bounds a request's and an answer's body.
 	BodyBytes int64
+	// Shares lets other teams route to the service, each below a key prefix.
+	Shares []Share
+}
+
+// Share lets the routes of another team reach keys that start with Prefix.
+type Share struct {
+	Team   Team
+	Prefix string
 }
 
 // ServiceTarget is one target named by the settings.
@@ -126,10 +139,12 @@
 	Concurrent int
 }
 
-// Delegation lets a credential write below a path.
+// Delegation lets the bearer of a credential write below some paths. Team is
+// empty for a delegation at the platform's level.
 type Delegation struct {
-	Path           string
+	Team           Team
 	Operator       string
+	Below          []Path
 	CredentialHash [32]byte
 }
 
@@ -156,5 +171,8 @@
 	At     time.Time
 	By     string
 	Reason string
-	Paths  []string
+	Paths  []Path
+	// Before holds the former value of each path, in the file format; empty
+	// text stands for a path that had none. Rollback puts them back.
+	Before []string
 }
