Peers over QUIC with mutual TLS, and the operator's own authority

One UDP socket per process, one stream per message, bodies up to 8 MiB. Host, zone and role come from the certificate; a fixed table says which role may ask for and answer each kind of message.

--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -13,7 +13,6 @@
 	_ "github.com/gorilla/mux"
 	_ "github.com/klauspost/compress/zstd"
 	_ "github.com/oklog/run"
-	_ "github.com/quic-go/quic-go"
 	_ "github.com/rogpeppe/go-internal/testscript"
 	_ "github.com/samber/oops"
 	_ "golang.org/x/sync/errgroup"
--- /dev/null
+++ b/internal/keys/file.go
@@ -0,0 +1,85 @@
+package keys
+
+import (
+	"crypto/ed25519"
+	"crypto/x509"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"os"
+)
+
+const (
+	certificateBlock = "CERTIFICATE"
+	keyBlock         = "PRIVATE KEY"
+)
+
+var errKeyForm = errors.New("not an Ed25519 private key in PEM")
+
+func encodeCertificate(der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: certificateBlock, Bytes: der})
+}
+
+func writeKey(path string, key ed25519.PrivateKey) error {
+	der, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return fmt.Errorf("keys: write %s: %w", path, err)
+	}
+	return replaceFile(path, pem.EncodeToMemory(&pem.Block{Type: keyBlock, Bytes: der}), privateMode)
+}
+
+// replaceFile writes a file whole or not at all: a reader of the path never
+// sees half of it.
+func replaceFile(path string, data []byte, mode os.FileMode) error {
+	next := path + ".new"
+	if err := os.WriteFile(next, data, mode); err != nil {
+		return fmt.Errorf("keys: write %s: %w", path, err)
+	}
+	if err := os.Rename(next, path); err != nil {
+		return fmt.Errorf("keys: write %s: %w", path, err)
+	}
+	return nil
+}
+
+func readKey(path string) (ed25519.PrivateKey, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("keys: %w", err)
+	}
+	block, _ := pem.Decode(data)
+	if block == nil {
+		return nil, fmt.Errorf("keys: %s: %w", path, errKeyForm)
+	}
+	parsed, err := x509.ParsePKCS8PrivateKey(block.Bytes)
+	if err != nil {
+		return nil, fmt.Errorf("keys: %s: %w", path, err)
+	}
+	key, ok := parsed.(ed25519.PrivateKey)
+	if !ok {
+		return nil, fmt.Errorf("keys: %s: %w", path, errKeyForm)
+	}
+	return key, nil
+}
+
+// readCertificates returns the certificates of a file, at least one.
+func readCertificates(path string) ([]*x509.Certificate, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("keys: %w", err)
+	}
+	var out []*x509.Certificate
+	for block, rest := pem.Decode(data); block != nil; block, rest = pem.Decode(rest) {
+		if block.Type != certificateBlock {
+			continue
+		}
+		certificate, err := x509.ParseCertificate(block.Bytes)
+		if err != nil {
+			return nil, fmt.Errorf("keys: %s: %w", path, err)
+		}
+		out = append(out, certificate)
+	}
+	if len(out) == 0 {
+		return nil, fmt.Errorf("keys: %s holds no certificate", path)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/keys/material.go
@@ -0,0 +1,169 @@
+package keys
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"citrontray.example/citrontray/internal/peer"
+	"citrontray.example/citrontray/internal/place"
+)
+
+// ErrMismatch is returned where a certificate and a key do not belong together
+// or the certificate is not of a trusted authority.
+var ErrMismatch = errors.New("keys: certificate, key and authority do not belong together")
+
+// resetLabel separates the reset secret from other uses of the private key.
+const resetLabel = "citrontray stateless reset"
+
+// Material is the trusted authorities and the certificate of one process. It
+// follows the files on Reload. Safe for concurrent use.
+type Material struct {
+	dir  string
+	host place.Host
+	role peer.Role
+	now  atomic.Pointer[generation]
+}
+
+// generation is the state of the files at one reading.
+type generation struct {
+	identity    peer.Identity
+	roots       *x509.CertPool
+	certificate tls.Certificate
+	digest      [sha256.Size]byte
+	reset       [sha256.Size]byte
+}
+
+// Load reads the files of one process in dir and checks them against each
+// other at the time now.
+func Load(now time.Time, dir string, host place.Host, role peer.Role) (*Material, error) {
+	m := &Material{dir: dir, host: host, role: role}
+	if _, err := m.Reload(now); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+// Reload reads the files again and reports whether they changed. On an error
+// the process goes on with what it has: a half-finished copy cuts nobody off.
+func (m *Material) Reload(now time.Time) (bool, error) {
+	next, err := m.read(now)
+	if err != nil {
+		return false, err
+	}
+	last := m.now.Load()
+	if last != nil && last.digest == next.digest {
+		return false, nil
+	}
+	m.now.Store(next)
+	return true, nil
+}
+
+func (m *Material) read(now time.Time) (*generation, error) {
+	authorities, err := readCertificates(filepath.Join(m.dir, AuthorityFile))
+	if err != nil {
+		return nil, err
+	}
+	chain, err := readCertificates(filepath.Join(m.dir, CertificateFile(m.host, m.role)))
+	if err != nil {
+		return nil, err
+	}
+	key, err := readKey(filepath.Join(m.dir, KeyFile(m.host, m.role)))
+	if err != nil {
+		return nil, err
+	}
+	next := &generation{roots: x509.NewCertPool()}
+	sum := sha256.New()
+	for _, authority := range authorities {
+		next.roots.AddCert(authority)
+		sum.Write(authority.Raw)
+	}
+	next.certificate = tls.Certificate{PrivateKey: key, Leaf: chain[0]}
+	for _, certificate := range chain {
+		next.certificate.Certificate = append(next.certificate.Certificate, certificate.Raw)
+		sum.Write(certificate.Raw)
+	}
+	sum.Write(key.Seed())
+	sum.Sum(next.digest[:0])
+	next.reset = sha256.Sum256(append([]byte(resetLabel), key.Seed()...))
+	if public, ok := chain[0].PublicKey.(ed25519.PublicKey); !ok || !public.Equal(key.Public()) {
+		return nil, fmt.Errorf("%w: key of %s", ErrMismatch, m.host)
+	}
+	if next.identity, err = next.verify(now, chain); err != nil {
+		return nil, err
+	}
+	if next.identity.Host != m.host || next.identity.Role != m.role {
+		return nil, fmt.Errorf("%w: certificate is of %s", ErrMismatch, next.identity.Host)
+	}
+	return next, nil
+}
+
+// Self returns the identity that the process shows to others.
+func (m *Material) Self() peer.Identity { return m.now.Load().identity }
+
+// ResetSecret returns a secret that the process has again after a restart.
+func (m *Material) ResetSecret() [sha256.Size]byte { return m.now.Load().reset }
+
+// Verify checks a certificate chain against the authorities trusted now and
+// returns whom it names. The chain starts with the process's certificate.
+func (m *Material) Verify(now time.Time, chain []*x509.Certificate) (peer.Identity, error) {
+	return m.now.Load().verify(now, chain)
+}
+
+func (g *generation) verify(now time.Time, chain []*x509.Certificate) (peer.Identity, error) {
+	if len(chain) == 0 {
+		return peer.Identity{}, ErrIdentity
+	}
+	intermediates := x509.NewCertPool()
+	for _, certificate := range chain[1:] {
+		intermediates.AddCert(certificate)
+	}
+	_, err := chain[0].Verify(x509.VerifyOptions{
+		Roots:         g.roots,
+		Intermediates: intermediates,
+		CurrentTime:   now,
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth},
+	})
+	if err != nil {
+		return peer.Identity{}, fmt.Errorf("%w: %w", ErrMismatch, err)
+	}
+	return Identity(chain[0])
+}
+
+// ClientTLS returns the configuration for one outgoing connection, made from
+// the files as they are now.
+func (m *Material) ClientTLS(protocol string) *tls.Config {
+	g := m.now.Load()
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		NextProtos:   []string{protocol},
+		RootCAs:      g.roots,
+		Certificates: []tls.Certificate{g.certificate},
+	}
+}
+
+// ServerTLS returns the configuration of a listener. Each handshake uses the
+// files as they are then, and none resumes an older session.
+func (m *Material) ServerTLS(protocol string) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		NextProtos: []string{protocol},
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			g := m.now.Load()
+			return &tls.Config{
+				MinVersion:             tls.VersionTLS13,
+				NextProtos:             []string{protocol},
+				ClientAuth:             tls.RequireAndVerifyClientCert,
+				ClientCAs:              g.roots,
+				Certificates:           []tls.Certificate{g.certificate},
+				SessionTicketsDisabled: true,
+			}, nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/peer/call.go
@@ -0,0 +1,225 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+)
+
+const (
+	firstBackoff = 50 * time.Millisecond
+	maxBackoff   = time.Second
+)
+
+// remote is one address that this process calls, with its connection.
+type remote struct {
+	owner *Peer
+	addr  netip.AddrPort
+
+	mu       sync.Mutex
+	session  *session
+	calls    int
+	used     time.Time
+	dialing  chan struct{} // closed once the dial has ended
+	failures int
+	retryAt  time.Time
+	lastErr  error
+}
+
+// Call implements Link. The deadline of ctx travels with the message; without
+// one it is five seconds. Errors: ErrUnreachable where nothing was sent,
+// ErrRefused, *RemoteError, ErrTooLarge, otherwise ErrLost.
+func (p *Peer) Call(ctx context.Context, to netip.AddrPort, kind Kind, body []byte) ([]byte, error) {
+	if len(body) > MaxMessage {
+		return nil, ErrTooLarge
+	}
+	if _, ok := ctx.Deadline(); !ok {
+		bounded, cancel := context.WithTimeout(ctx, defaultTimeout)
+		defer cancel()
+		ctx = bounded
+	}
+	if p.cut != nil && p.cut(to) {
+		return nil, fmt.Errorf("%w: cut off from %s", ErrUnreachable, to)
+	}
+	r, err := p.remote(to)
+	if err != nil {
+		return nil, err
+	}
+	s, err := r.connect(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer r.release()
+	if !answers(s.identity.Role, kind) {
+		return nil, ErrRefused
+	}
+	return s.call(ctx, kind, body)
+}
+
+func (p *Peer) remote(to netip.AddrPort) (*remote, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ctx.Err() != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnreachable, ErrClosed)
+	}
+	r := p.remotes[to]
+	if r == nil {
+		r = &remote{owner: p, addr: to, used: time.Now()}
+		p.remotes[to] = r
+	}
+	return r, nil
+}
+
+// connect returns an open connection and counts a call on it; release ends
+// the call. It dials where there is none and the backoff has passed.
+func (r *remote) connect(ctx context.Context) (*session, error) {
+	for {
+		s, wait, err := r.pick(time.Now())
+		if s != nil || err != nil {
+			return s, err
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, r.addr, ctx.Err())
+		}
+	}
+}
+
+func (r *remote) pick(now time.Time) (*session, <-chan struct{}, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.used = now
+	if r.session != nil && r.session.alive() {
+		r.calls++
+		return r.session, nil, nil
+	}
+	if r.dialing != nil {
+		return nil, r.dialing, nil
+	}
+	if now.Before(r.retryAt) {
+		return nil, nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, r.addr, r.lastErr)
+	}
+	r.session = nil
+	r.dialing = make(chan struct{})
+	go r.run()
+	return nil, r.dialing, nil
+}
+
+func (r *remote) release() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls--
+	r.used = time.Now()
+}
+
+// run dials once, for all calls that wait.
+func (r *remote) run() {
+	s, err := r.dial()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.dialing)
+	r.dialing = nil
+	if err != nil {
+		r.lastErr = err
+		r.retryAt = time.Now().Add(backoff(r.failures))
+		r.failures++
+		return
+	}
+	r.failures = 0
+	r.session = s
+}
+
+// backoff returns the time before the next attempt: doubling from
+// firstBackoff to maxBackoff, between half and all of it at random.
+func backoff(failures int) time.Duration {
+	const maxDoublings = 10
+	full := min(firstBackoff<<min(failures, maxDoublings), maxBackoff)
+	return full/2 + rand.N(full/2)
+}
+
+func (r *remote) dial() (*session, error) {
+	ctx, cancel := context.WithTimeout(r.owner.ctx, handshakeTimeout)
+	defer cancel()
+	config := r.owner.keys.ClientTLS(Protocol)
+	config.ServerName = r.addr.Addr().String()
+	conn, err := r.owner.transport.Dial(ctx, net.UDPAddrFromAddrPort(r.addr), config, settings(keepAlive))
+	if err != nil {
+		return nil, err
+	}
+	s, err := newSession(r.owner, conn, time.Now())
+	if err != nil {
+		_ = conn.CloseWithError(codeDenied, "")
+		return nil, err
+	}
+	return s, nil
+}
+
+// upkeep ends a connection that the keys no longer allow or that nobody uses;
+// it reports whether the remote is still of use.
+func (r *remote) upkeep(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	unused := r.calls == 0 && now.Sub(r.used) > unusedTimeout
+	if r.session == nil {
+		return !unused || r.dialing != nil
+	}
+	if _, err := r.owner.keys.Verify(now, r.session.chain); err != nil {
+		r.session.close(codeDenied)
+		r.session = nil
+		return true
+	}
+	if unused {
+		r.session.close(codeUnused)
+		r.session = nil
+	}
+	return !unused
+}
+
+func (r *remote) close(code quic.ApplicationErrorCode) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.session != nil {
+		r.session.close(code)
+	}
+}
+
+// call sends one message on a stream of its own.
+func (s *session) call(ctx context.Context, kind Kind, body []byte) ([]byte, error) {
+	stream, err := s.conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	stop := context.AfterFunc(ctx, func() {
+		stream.CancelWrite(streamStale)
+		stream.CancelRead(streamStale)
+	})
+	defer stop()
+	deadline, _ := ctx.Deadline()
+	header := appendRequestHeader(make([]byte, 0, requestHeaderSize+len(body)), kind, time.Until(deadline))
+	if _, err := stream.Write(append(header, body...)); err != nil {
+		return nil, lost(ctx, err)
+	}
+	if err := stream.Close(); err != nil {
+		return nil, lost(ctx, err)
+	}
+	answer, err := readAnswer(stream)
+	if errors.Is(err, ErrLost) {
+		return nil, lost(ctx, err)
+	}
+	return answer, err
+}
+
+func lost(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return fmt.Errorf("%w: %w", ErrLost, ctx.Err())
+	}
+	return fmt.Errorf("%w: %w", ErrLost, err)
+}
--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,126 @@
+package peer
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+)
+
+// MaxMessage bounds the body of a message or an answer, in bytes.
+const MaxMessage = 8 << 20
+
+// Protocol names the version of the messages in the TLS handshake.
+const Protocol = "citrontray/1"
+
+const (
+	// requestHeaderSize: one byte for the kind, four for the timeout in
+	// milliseconds, in network order.
+	requestHeaderSize = 5
+	// answerHeaderSize: one byte for the status.
+	answerHeaderSize = 1
+	// maxErrorText bounds the text of a RemoteError, in bytes.
+	maxErrorText = 1 << 10
+)
+
+// status is the first byte of an answer.
+type status byte
+
+const (
+	statusOK status = iota + 1
+	statusFailed
+	statusRefused
+)
+
+// ErrTooLarge is returned for a message above MaxMessage.
+var ErrTooLarge = errors.New("peer: message too large")
+
+// ErrMalformed is returned for a message that can't be read.
+var ErrMalformed = errors.New("peer: malformed message")
+
+// ErrRefused is returned where the other side has no such service for this
+// role, or where its own role is not the one that answers. Nothing was done.
+var ErrRefused = errors.New("peer: refused")
+
+// RemoteError is the failure that the other side's handler reported.
+type RemoteError struct{ Text string }
+
+// Error implements error.
+func (e *RemoteError) Error() string { return "peer: remote: " + e.Text }
+
+// request is one message as it arrives.
+type request struct {
+	kind    Kind
+	timeout time.Duration
+	body    []byte
+}
+
+func appendRequestHeader(dst []byte, kind Kind, timeout time.Duration) []byte {
+	dst = append(dst, byte(kind))
+	millis := min(max(timeout.Milliseconds(), 1), maxTimeout.Milliseconds())
+	return binary.BigEndian.AppendUint32(dst, uint32(millis))
+}
+
+func readRequest(r io.Reader) (request, error) {
+	var header [requestHeaderSize]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return request{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	body, err := readBounded(r)
+	if err != nil {
+		return request{}, err
+	}
+	timeout := time.Duration(binary.BigEndian.Uint32(header[1:])) * time.Millisecond
+	return request{kind: Kind(header[0]), timeout: min(timeout, maxTimeout), body: body}, nil
+}
+
+func encodeAnswer(body []byte, err error) []byte {
+	var refused bool
+	switch {
+	case err == nil && len(body) <= MaxMessage:
+		return append([]byte{byte(statusOK)}, body...)
+	case err == nil:
+		err = ErrTooLarge
+	case errors.Is(err, ErrRefused):
+		refused = true
+	}
+	text := err.Error()
+	text = text[:min(len(text), maxErrorText)]
+	if refused {
+		return append([]byte{byte(statusRefused)}, text...)
+	}
+	return append([]byte{byte(statusFailed)}, text...)
+}
+
+func readAnswer(r io.Reader) ([]byte, error) {
+	var header [answerHeaderSize]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrLost, err)
+	}
+	body, err := readBounded(r)
+	if err != nil {
+		return nil, err
+	}
+	switch status(header[0]) {
+	case statusOK:
+		return body, nil
+	case statusFailed:
+		return nil, &RemoteError{Text: string(body[:min(len(body), maxErrorText)])}
+	case statusRefused:
+		return nil, ErrRefused
+	}
+	return nil, ErrMalformed
+}
+
+// readBounded reads to the end, at most MaxMessage bytes.
+func readBounded(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, MaxMessage+1))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrLost, err)
+	}
+	if len(body) > MaxMessage {
+		return nil, ErrTooLarge
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,143 @@
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"citrontray.example/citrontray/internal/keys"
+	"citrontray.example/citrontray/internal/peer"
+	"citrontray.example/citrontray/internal/place"
+)
+
+var loopback = netip.MustParseAddr("127.0.0.1")
+
+func authority(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	assert.NilError(t, keys.MakeAuthority(time.Now(), dir))
+	return dir
+}
+
+func material(t *testing.T, dir string, host place.Host, role peer.Role) *keys.Material {
+	t.Helper()
+	err := keys.MakeHost(time.Now(), dir, host, "z1", []peer.Role{role}, []netip.Addr{loopback})
+	assert.NilError(t, err)
+	m, err := keys.Load(time.Now(), dir, host, role)
+	assert.NilError(t, err)
+	return m
+}
+
+func start(t *testing.T, m peer.Credentials, at netip.AddrPort) *peer.Peer {
+	t.Helper()
+	p, err := peer.New(peer.Config{Listen: at, Keys: m})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = p.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return p
+}
+
+func anyPort() netip.AddrPort { return netip.AddrPortFrom(loopback, 0) }
+
+func echo(_ context.Context, from peer.Identity, body []byte) ([]byte, error) {
+	return append([]byte(from.Host+"/"+place.Host(from.Role)+":"), body...), nil
+}
+
+func TestCallCarriesIdentityAndBody(t *testing.T) {
+	dir := authority(t)
+	server := start(t, material(t, dir, "h1", peer.RoleLead), anyPort())
+	server.Handle(peer.KindSpread, echo)
+	client := start(t, material(t, dir, "h2", peer.RoleEntry), anyPort())
+	body := bytes.Repeat([]byte("x"), 3<<20)
+	got, err := client.Call(t.Context(), server.Addr(), peer.KindSpread, body)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(got, append([]byte("h2/entry:"), body...)))
+}
+
+func TestCallFailures(t *testing.T) {
+	dir := authority(t)
+	server := start(t, material(t, dir, "h1", peer.RoleLead), anyPort())
+	server.Handle(peer.KindSpread, func(context.Context, peer.Identity, []byte) ([]byte, error) {
+		return nil, errors.New("no such document")
+	})
+	server.Handle(peer.KindCell, echo)
+	server.Handle(peer.KindLoad, func(ctx context.Context, _ peer.Identity, _ []byte) ([]byte, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	server.Handle(peer.KindStatus, func(context.Context, peer.Identity, []byte) ([]byte, error) {
+		return make([]byte, peer.MaxMessage+1), nil
+	})
+	client := start(t, material(t, dir, "h2", peer.RoleEntry), anyPort())
+	nobody := start(t, material(t, dir, "h3", peer.RoleEntry), anyPort())
+	gone := nobody.Addr()
+	assert.NilError(t, nobody.Close())
+	tests := map[string]struct {
+		to   netip.AddrPort
+		kind peer.Kind
+		body []byte
+		want error
+	}{
+		"no such process":         {to: gone, kind: peer.KindSpread, want: peer.ErrUnreachable},
+		"role may not ask":        {to: server.Addr(), kind: peer.KindCell, want: peer.ErrRefused},
+		"role does not answer":    {to: server.Addr(), kind: peer.KindWork, want: peer.ErrRefused},
+		"no answer in time":       {to: server.Addr(), kind: peer.KindLoad, want: peer.ErrLost},
+		"message too large":       {to: server.Addr(), kind: peer.KindSpread, body: make([]byte, peer.MaxMessage+1), want: peer.ErrTooLarge},
+		"unknown kind of message": {to: server.Addr(), kind: 99, want: peer.ErrRefused},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			_, err := client.Call(ctx, tt.to, tt.kind, tt.body)
+			assert.ErrorIs(t, err, tt.want)
+		})
+	}
+	t.Run("handler fails", func(t *testing.T) {
+		_, err := client.Call(t.Context(), server.Addr(), peer.KindSpread, nil)
+		var remote *peer.RemoteError
+		assert.Assert(t, errors.As(err, &remote))
+		assert.Equal(t, remote.Text, "no such document")
+	})
+	t.Run("answer too large", func(t *testing.T) {
+		_, err := client.Call(t.Context(), server.Addr(), peer.KindStatus, nil)
+		var remote *peer.RemoteError
+		assert.Assert(t, errors.As(err, &remote))
+	})
+}
+
+// TestRestartAtSameAddress ends a process and starts another at its address:
+// the caller's old connection must not stand in the way.
+func TestRestartAtSameAddress(t *testing.T) {
+	dir := authority(t)
+	m := material(t, dir, "h1", peer.RoleLead)
+	first := start(t, m, anyPort())
+	first.Handle(peer.KindSpread, echo)
+	at := first.Addr()
+	client := start(t, material(t, dir, "h2", peer.RoleEntry), anyPort())
+	_, err := client.Call(t.Context(), at, peer.KindSpread, nil)
+	assert.NilError(t, err)
+	assert.NilError(t, first.Close())
+	second := start(t, m, at)
+	second.Handle(peer.KindSpread, echo)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, err := client.Call(t.Context(), at, peer.KindSpread, nil); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(10*time.Millisecond))
+}
