--- /dev/null
+++ b/internal/target/holdings.go
@@ -0,0 +1,271 @@
+package target
+
+import (
+	"cmp"
+	"slices"
+
+	"citrontray.example/citrontray/internal/grant"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/place"
+)
+
+// Holdings is a target's side of the rules of ownership: what it holds, until
+// when by its own clock, and which orders it takes. It does no I/O and reads
+// no clock; it is not safe for concurrent use.
+type Holdings struct {
+	name        place.Target
+	service     key.Service
+	incarnation place.Incarnation
+	checksTerms bool
+
+	term     grant.Term
+	draining bool
+	rows     map[key.Shard]*holding
+	floors   map[key.Shard]grant.Epoch
+	// inFlight counts work by shard, of all epochs: work that outlives its
+	// grant must still end before a later release is confirmed.
+	inFlight map[key.Shard]int
+}
+
+// holding is one shard that the target was granted.
+type holding struct {
+	epoch     grant.Epoch
+	end       grant.Stamp
+	releasing bool
+}
+
+// HoldingsConfig names a target and the way it judges orders.
+type HoldingsConfig struct {
+	Target      place.Target
+	Service     key.Service
+	Incarnation place.Incarnation
+	// ChecksTerms tells whether orders of an older term are refused.
+	ChecksTerms bool
+}
+
+// Holding is one shard that a target holds, as Each reports it.
+type Holding struct {
+	grant.Held
+	// End is the reading of the target's clock at which the grant ends.
+	End grant.Stamp
+	// Releasing tells that no new work starts; work in flight goes on.
+	Releasing bool
+}
+
+// NewHoldings returns the holdings of a target that has just started: none.
+func NewHoldings(config HoldingsConfig) *Holdings {
+	return &Holdings{
+		name:        config.Target,
+		service:     config.Service,
+		incarnation: config.Incarnation,
+		checksTerms: config.ChecksTerms,
+		rows:        make(map[key.Shard]*holding),
+		floors:      make(map[key.Shard]grant.Epoch),
+		inFlight:    make(map[key.Shard]int),
+	}
+}
+
+// SetDraining makes the answers tell that the target itself asks to leave.
+func (h *Holdings) SetDraining(draining bool) { h.draining = draining }
+
+// Apply takes one order at the reading now of the target's clock and returns
+// the answer. An order of a lower term, of another service or for another
+// incarnation changes nothing.
+func (h *Holdings) Apply(now grant.Stamp, order grant.Order) grant.Answer {
+	h.expire(now)
+	accepted := h.accepts(order)
+	full := order.Inventory || len(order.Release) > 0
+	if accepted && h.addressed(order) {
+		h.term = max(h.term, order.Term)
+		h.release(order.Release)
+		full = !h.lengthen(now, order) || full
+	}
+	return h.answer(now, accepted, full)
+}
+
+// accepts reports whether the order's sender may order anything.
+func (h *Holdings) accepts(order grant.Order) bool {
+	if order.Service != h.service {
+		return false
+	}
+	return !h.checksTerms || order.Term >= h.term
+}
+
+// addressed reports whether the order is meant for this life of the target.
+func (h *Holdings) addressed(order grant.Order) bool {
+	return order.Incarnation == 0 || order.Incarnation == h.incarnation
+}
+
+// release stops new work on the shards. The floor rises at once, so that a
+// late renewal of the released epoch has no effect.
+func (h *Holdings) release(shards []grant.Held) {
+	for _, r := range shards {
+		h.raiseFloor(r.Shard, r.Epoch+1)
+		row := h.rows[r.Shard]
+		if row == nil || row.epoch > r.Epoch {
+			continue
+		}
+		row.releasing = true
+		h.dropIfIdle(r.Shard, row)
+	}
+}
+
+// lengthen makes and lengthens grants. It reports false where the order
+// relied on a digest of other holdings.
+func (h *Holdings) lengthen(now grant.Stamp, order grant.Order) bool {
+	if order.Incarnation == 0 {
+		return true
+	}
+	end := order.Anchor.Add(order.Duration)
+	matched := true
+	if order.ExtendAll {
+		matched = h.extendAll(order.Digest, end)
+	}
+	for _, item := range order.Items {
+		h.apply(now, item, end)
+	}
+	return matched
+}
+
+// extendAll lengthens every grant, where digest is that of the holdings with
+// or without those being released.
+func (h *Holdings) extendAll(digest uint64, end grant.Stamp) bool {
+	if digest != grant.Digest(h.held(true)) && digest != grant.Digest(h.held(false)) {
+		return false
+	}
+	for _, row := range h.rows {
+		if !row.releasing {
+			row.end = max(row.end, end)
+		}
+	}
+	return true
+}
+
+// apply makes or lengthens one grant that ends at end. A renewal that was
+// read late may name an end that has passed: it then changes no ownership.
+func (h *Holdings) apply(now grant.Stamp, item grant.Item, end grant.Stamp) {
+	if item.Epoch < h.floors[item.Shard] {
+		return
+	}
+	row := h.rows[item.Shard]
+	if row != nil && row.epoch == item.Epoch {
+		row.end = max(row.end, end)
+		return
+	}
+	if item.Kind == grant.Extend {
+		return
+	}
+	h.raiseFloor(item.Shard, item.Epoch)
+	if end <= now {
+		return
+	}
+	h.rows[item.Shard] = &holding{epoch: item.Epoch, end: end}
+}
+
+// Owns reports whether new work for the shard at that epoch may start.
+func (h *Holdings) Owns(now grant.Stamp, shard key.Shard, epoch grant.Epoch) bool {
+	row := h.rows[shard]
+	return row != nil && row.epoch == epoch && row.end > now && !row.releasing
+}
+
+// Begin starts one piece of work, if Owns allows it. Call End after it.
+func (h *Holdings) Begin(now grant.Stamp, shard key.Shard, epoch grant.Epoch) bool {
+	if !h.Owns(now, shard, epoch) {
+		return false
+	}
+	h.inFlight[shard]++
+	return true
+}
+
+// End reports that work which Begin allowed has ended.
+func (h *Holdings) End(shard key.Shard) {
+	if h.inFlight[shard]--; h.inFlight[shard] <= 0 {
+		delete(h.inFlight, shard)
+	}
+	if row := h.rows[shard]; row != nil {
+		h.dropIfIdle(shard, row)
+	}
+}
+
+// Each returns what the target holds at now, sorted by shard.
+func (h *Holdings) Each(now grant.Stamp) []Holding {
+	out := make([]Holding, 0, len(h.rows))
+	for shard, row := range h.rows {
+		if row.end <= now {
+			continue
+		}
+		out = append(out, Holding{
+			Held:      grant.Held{Shard: shard, Epoch: row.epoch},
+			End:       row.end,
+			Releasing: row.releasing,
+		})
+	}
+	slices.SortFunc(out, func(a, b Holding) int { return cmp.Compare(a.Shard, b.Shard) })
+	return out
+}
+
+// Term returns the highest term accepted so far.
+func (h *Holdings) Term() grant.Term { return h.term }
+
+// expire drops the grants that have ended. The floors stay.
+func (h *Holdings) expire(now grant.Stamp) {
+	for shard, row := range h.rows {
+		if row.end <= now {
+			delete(h.rows, shard)
+		}
+	}
+}
+
+func (h *Holdings) dropIfIdle(shard key.Shard, row *holding) {
+	if row.releasing && h.inFlight[shard] == 0 {
+		delete(h.rows, shard)
+	}
+}
+
+func (h *Holdings) raiseFloor(shard key.Shard, epoch grant.Epoch) {
+	h.floors[shard] = max(h.floors[shard], epoch)
+}
+
+// held returns the holdings, sorted by shard.
+func (h *Holdings) held(releasing bool) []grant.Held {
+	out := make([]grant.Held, 0, len(h.rows))
+	for shard, row := range h.rows {
+		if releasing || !row.releasing {
+			out = append(out, grant.Held{Shard: shard, Epoch: row.epoch})
+		}
+	}
+	sortHeld(out)
+	return out
+}
+
+func (h *Holdings) answer(now grant.Stamp, accepted, full bool) grant.Answer {
+	held := h.held(true)
+	answer := grant.Answer{
+		Target:      h.name,
+		Incarnation: h.incarnation,
+		Clock:       now,
+		Term:        h.term,
+		Accepted:    accepted,
+		Digest:      grant.Digest(held),
+		Full:        full,
+		Draining:    h.draining,
+	}
+	if full {
+		answer.Held = held
+		answer.Floors = h.floorList()
+	}
+	return answer
+}
+
+func (h *Holdings) floorList() []grant.Held {
+	out := make([]grant.Held, 0, len(h.floors))
+	for shard, epoch := range h.floors {
+		out = append(out, grant.Held{Shard: shard, Epoch: epoch})
+	}
+	sortHeld(out)
+	return out
+}
+
+func sortHeld(held []grant.Held) {
+	slices.SortFunc(held, func(a, b grant.Held) int { return cmp.Compare(a.Shard, b.Shard) })
+}
