--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,86 @@
+// Package admin serves a daemon's pages for operators and the balancer:
+// /live, /ready, /metrics and /status.
+package admin
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/samber/oops"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	closeTimeout  = time.Second
+)
+
+// Server is a daemon's admin listener.
+type Server struct {
+	*mux.Router
+
+	ready    atomic.Bool
+	listener net.Listener
+	http     http.Server
+}
+
+// Listen binds the address; the pages are served once Run is called. The
+// status handler may be nil.
+func Listen(addr netip.AddrPort, metrics, status http.Handler) (*Server, error) {
+	listener, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return nil, oops.Wrapf(err, "admin: listen on %s", addr)
+	}
+	s := &Server{Router: mux.NewRouter(), listener: listener}
+	s.Handle("/metrics", metrics)
+	s.HandleFunc("/live", s.live)
+	s.HandleFunc("/ready", s.answerReady)
+	if status != nil {
+		s.Handle("/status", status)
+	}
+	s.http = http.Server{Handler: s, ReadHeaderTimeout: headerTimeout}
+	return s, nil
+}
+
+// Addr returns the bound address.
+func (s *Server) Addr() net.Addr { return s.listener.Addr() }
+
+// SetReady tells the balancer whether to send callers here.
+func (s *Server) SetReady(ready bool) { s.ready.Store(ready) }
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, s.close)
+	defer stop()
+	err := s.http.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// close ends the server, giving open answers a moment.
+func (s *Server) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	_ = s.http.Shutdown(ctx)
+}
+
+// live answers that the process runs.
+func (s *Server) live(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("live\n"))
+}
+
+// answerReady answers 200 while the balancer may send callers here.
+func (s *Server) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if !s.ready.Load() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
