--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -48,9 +48,10 @@
 	c.found.Add(c.items[path].place(field), problem, mend)
 }
 
-func servicePath(s *Service) Path   { return join(teamsRoot, string(s.Team), "services", string(s.Name)) }
-func routePath(r *Route) Path       { return join(teamsRoot, string(r.Team), "routes", r.Name) }
-func callerPath(r *CallerRow) Path  { return join(teamsRoot, string(r.Team), "callers", string(r.Name)) }
+func servicePath(s *Service) Path  { return join(teamsRoot, string(s.Team), "services", string(s.Name)) }
+func routePath(r *Route) Path      { return join(teamsRoot, string(r.Team), "routes", r.Name) }
+func callerPath(r *CallerRow) Path { return join(teamsRoot, string(r.Team), "callers", string(r.Name)) }
+
 func limitPath(l *Limit) Path {
 	return join(teamsRoot, string(l.Team), "limits", string(l.Caller), string(l.Class))
 }
--- a/internal/settings/commit.go
+++ b/internal/settings/commit.go
@@ -139,6 +139,9 @@
 	if a.doubt && current.Revision < a.base.Revision {
 		return nil, a.later(ctx, errors.New("the store answers with an old value"))
 	}
+	if a.doubt && !current.remembers(a.base.Number+1) {
+		return nil, a.unreachable(errors.New("the history does not reach back to it"))
+	}
 	a.doubt = false
 	if err := a.prepare(now, current); err != nil {
 		return nil, err
@@ -236,7 +239,7 @@
 			}
 		}
 	}
-	if len(s.History) > 0 && s.History[0].Number <= expect+1 {
+	if s.remembers(expect + 1) {
 		return nil
 	}
 	// The history does not reach back that far: nobody can tell.
@@ -247,6 +250,11 @@
 	return &ConflictError{Path: changes[0].Path, Winner: newest}
 }
 
+// remembers reports whether the history holds the write of that number.
+func (s *Settings) remembers(number uint64) bool {
+	return len(s.History) > 0 && s.History[0].Number <= number
+}
+
 // record returns the history with the request added, within bounds.
 func (s *Settings) record(now time.Time, req Request, changes []Change) []Write {
 	w := Write{ID: req.ID, Number: s.Number + 1, At: now, By: req.By, Reason: req.Reason}
@@ -286,7 +294,7 @@
 		found.Addf("revision", "%d is not before the one in force, %d", number, s.Number)
 		return nil, found.Err()
 	}
-	if len(s.History) == 0 || s.History[0].Number > number+1 {
+	if !s.remembers(number + 1) {
 		found.Addf("revision", "%d is past the kept history", number)
 		return nil, found.Err()
 	}
--- a/internal/settings/item.go
+++ b/internal/settings/item.go
@@ -68,7 +68,7 @@
 
 // Items returns all settings in their text form, sorted by path.
 func (s *Settings) Items() []Item {
-	var out []Item
+	out := make([]Item, 0, len(s.Services)+len(s.Routes)+len(s.Callers))
 	for _, k := range kinds {
 		out = append(out, k.items(s)...)
 	}
--- /dev/null
+++ b/internal/settings/parse_test.go
@@ -0,0 +1,150 @@
+package settings_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/finding"
+	"citrontray.example/citrontray/internal/preset"
+	"citrontray.example/citrontray/internal/settings"
+)
+
+// agency returns the agency's settings.
+func agency(t testing.TB) *settings.Settings {
+	t.Helper()
+	p, err := preset.Get(preset.Agency)
+	assert.NilError(t, err)
+	s, err := p.Settings()
+	assert.NilError(t, err)
+	return s
+}
+
+func TestFindings(t *testing.T) {
+	const caller = "teams/a/callers/c: {tenant: t, credential: 'sha256:" + "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef" + "'}\n"
+	const service = "teams/a/services/s: {zones: [z]}\n"
+	const route = "service: s, callers: [c], methods: [GET], path: '/x/{key}', class: bulk, idempotent: true"
+	cases := map[string]struct {
+		file string
+		want []string
+	}{
+		"syntax":         {"a: [", []string{"file at 1:"}},
+		"no mapping":     {"- a", []string{"file at 1:1: is not a mapping of paths"}},
+		"unknown path":   {"teams/a/service/s: {}", []string{"teams/a/service/s at 1:1: is not a path"}},
+		"unknown field":  {"# one\nteams/a/services/s:\n  zones: [z]\n  zonse: [z]\n", []string{"teams/a/services/s zonse at 4:3: is not a field"}},
+		"several fields": {"teams/a/services/s:\n  zones: []\n  shards: 1000\n  slots: many\n", []string{"shards at 3:3: is not a power of two", "slots at 4:3: is not a number from 1", "zones at 2:3: names no zone"}},
+		"required":       {"teams/a/callers/c: {tenant: t}", []string{"teams/a/callers/c credential at 1:1: is required"}},
+		"no credential":  {"teams/a/callers/c: {tenant: t, credential: secret}", []string{"never write the credential itself"}},
+		"no service":     {caller + "teams/a/routes/r: {" + route + "}", []string{"names the service s, which is not there"}},
+		"no caller":      {service + "teams/a/routes/r: {" + route + "}", []string{"names the caller c, which is not there"}},
+		"twice":          {service + "teams/b/services/s: {zones: [z]}", []string{"has the name of a service of team"}},
+		"path twice":     {"a: {}\nb: {}\na: {}\n", []string{"already defined"}},
+		"same requests":  {service + caller + "teams/a/routes/r: {" + route + "}\nteams/a/routes/q: {" + route + "}", []string{"takes the same requests as teams/a/routes/q"}},
+		"not shared":     {strings.ReplaceAll(service, "/a/", "/b/") + caller + "teams/a/routes/r: {" + route + "}", []string{"that it does not share"}},
+		"prefix":         {"teams/b/services/s: {zones: [z], shares: ['a=a-']}\n" + caller + "teams/a/routes/r: {" + route + "}", []string{"prefix at 3:1: does not start with a-"}},
+		"shares overlap": {"teams/b/services/s: {zones: [z], shares: ['a=a', 'c=ab']}\n", []string{"prefixes that overlap"}},
+		"out of team":    {"teams/a/delegations/d: {below: [teams/b], credential: 'sha256:" + strings.Repeat("0", 64) + "'}", []string{"reaches out of the team's own paths"}},
+		"name":           {"teams/A/services/s: {zones: [z]}", []string{"has a name that is not allowed"}},
+		"delete nothing": {"teams/a/services/s: null", []string{"teams/a/services/s at 1:1: does not exist"}},
+		"deep":           {strings.Repeat("[", 100), []string{"nests brackets deeper"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			changes, err := settings.Parse([]byte(c.file))
+			if err == nil {
+				_, err = (&settings.Settings{}).With(changes)
+			}
+			var found *finding.Error
+			assert.Assert(t, errors.As(err, &found), "error %v", err)
+			for _, want := range c.want {
+				assert.Assert(t, strings.Contains(found.Error(), want), "findings:\n%s\nwant %q", found, want)
+			}
+		})
+	}
+}
+
+func TestOverlapOfTeams(t *testing.T) {
+	const file = `
+teams/sierra/routes/towers:
+  service: register
+  callers: [sierra-crews]
+  methods: [GET]
+  path: /towers/{key}
+  prefix: mesa-7
+  class: interactive
+  idempotent: true
+`
+	p, err := preset.Get(preset.Consortium)
+	assert.NilError(t, err)
+	s, err := p.Settings()
+	assert.NilError(t, err)
+	changes, err := settings.Parse([]byte(file))
+	assert.NilError(t, err)
+	_, err = s.With(changes)
+	assert.ErrorContains(t, err, "teams/sierra/routes/towers prefix at 7:3: does not start with sierra-")
+	assert.ErrorContains(t, err, "overlaps the keys of teams/mesa/routes/towers")
+}
+
+func TestFormatReadsBack(t *testing.T) {
+	s := agency(t)
+	changes, err := settings.Parse([]byte(settings.Format(s.Items())))
+	assert.NilError(t, err)
+	again, err := (&settings.Settings{}).With(changes)
+	assert.NilError(t, err)
+	assert.Equal(t, len(settings.Diff(s, again)), 0)
+	assert.Equal(t, settings.Format(s.Items()), settings.Format(again.Items()))
+}
+
+func TestLookups(t *testing.T) {
+	s := agency(t)
+	service, ok := s.Service("balance")
+	assert.Assert(t, ok)
+	assert.Equal(t, service.Connections, 130)
+	assert.Equal(t, int(service.Shards), 1024)
+	limit, ok := s.Limit("portal", settings.Interactive)
+	assert.Assert(t, ok)
+	assert.Equal(t, limit.Burst, 2000)
+	_, ok = s.Authenticate("trial-nobody")
+	assert.Assert(t, !ok)
+}
+
+func FuzzParse(f *testing.F) {
+	for _, name := range preset.All() {
+		p, err := preset.Get(name)
+		assert.NilError(f, err)
+		f.Add(p.File)
+	}
+	f.Add([]byte("a: &x {b: *x}"))
+	f.Add([]byte("a: {b: |\n c\n}"))
+	f.Fuzz(func(t *testing.T, file []byte) {
+		changes, err := settings.Parse(file)
+		if err != nil {
+			return
+		}
+		s, err := (&settings.Settings{}).With(changes)
+		if err != nil {
+			return
+		}
+		text := settings.Format(s.Items())
+		again, err := settings.Parse([]byte(text))
+		assert.NilError(t, err, "formatted as:\n%s", text)
+		back, err := (&settings.Settings{}).With(again)
+		assert.NilError(t, err)
+		assert.Equal(t, len(settings.Diff(s, back)), 0)
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(settings.Encode(agency(f)))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		s, err := settings.Decode(body)
+		if err != nil {
+			return
+		}
+		_, err = settings.Decode(settings.Encode(s))
+		assert.NilError(t, err)
+	})
+}
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -76,7 +76,7 @@
 		return nil
 	}
 	show := func(r *Service) []string {
-		var out []string
+		out := make([]string, 0, len(r.Targets))
 		for _, t := range r.Targets {
 			out = append(out, string(t.Target)+" "+string(t.Zone)+" "+t.Addr.String())
 		}
@@ -98,7 +98,7 @@
 		return nil
 	}
 	show := func(r *Service) []string {
-		var out []string
+		out := make([]string, 0, len(r.Shares))
 		for _, s := range r.Shares {
 			out = append(out, string(s.Team)+"="+s.Prefix)
 		}
--- a/internal/settings/value.go
+++ b/internal/settings/value.go
@@ -150,7 +150,7 @@
 		return nil
 	}
 	show := func(row *R) []string {
-		var out []string
+		out := make([]string, 0, len(*at(row)))
 		for _, v := range *at(row) {
 			out = append(out, string(v))
 		}
