--- /dev/null
+++ b/internal/load/outage.go
@@ -0,0 +1,103 @@
+package load
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"citrontray.example/citrontray/internal/key"
+)
+
+// slowAnswer is the latency from which an answer counts as unavailable time:
+// the request waited for an owner.
+const slowAnswer = 500 * time.Millisecond
+
+// shardOf names a shard of a service.
+type shardOf struct {
+	service key.Service
+	shard   key.Shard
+}
+
+// Outages measures for how long each shard was not served: from the sending
+// of the first request that failed or waited, until one was served that was
+// sent later or had waited itself.
+type Outages struct {
+	open map[shardOf]time.Time
+	sum  map[shardOf]time.Duration
+	max  map[shardOf]time.Duration
+}
+
+// NewOutages returns an empty record.
+func NewOutages() *Outages {
+	return &Outages{
+		open: make(map[shardOf]time.Time),
+		sum:  make(map[shardOf]time.Duration),
+		max:  make(map[shardOf]time.Duration),
+	}
+}
+
+// Failed records a request that was sent at sent and not served.
+func (o *Outages) Failed(service key.Service, shard key.Shard, sent time.Time) {
+	at := shardOf{service: service, shard: shard}
+	if start, ok := o.open[at]; !ok || sent.Before(start) {
+		o.open[at] = sent
+	}
+}
+
+// Served records a request that was sent at sent and answered at now.
+func (o *Outages) Served(service key.Service, shard key.Shard, sent, now time.Time) {
+	at := shardOf{service: service, shard: shard}
+	if now.Sub(sent) >= slowAnswer {
+		o.Failed(service, shard, sent)
+	}
+	start, ok := o.open[at]
+	if !ok || sent.Before(start) {
+		return
+	}
+	delete(o.open, at)
+	o.add(at, now.Sub(start))
+}
+
+// Finish counts what is not served at now, the end of the measurement.
+func (o *Outages) Finish(now time.Time) {
+	for at, start := range o.open {
+		o.add(at, now.Sub(start))
+	}
+	clear(o.open)
+}
+
+func (o *Outages) add(at shardOf, d time.Duration) {
+	o.sum[at] += d
+	o.max[at] = max(o.max[at], d)
+}
+
+// Totals returns the sum over all shards, the longest outage of any shard and
+// the number of shards with one.
+func (o *Outages) Totals() (sum, longest time.Duration, shards int) {
+	for _, d := range o.sum {
+		sum += d
+	}
+	for _, d := range o.max {
+		longest = max(longest, d)
+	}
+	return sum, longest, len(o.sum)
+}
+
+// Worst returns the services and shards with the longest outages.
+func (o *Outages) Worst(n int) []Outage {
+	out := make([]Outage, 0, len(o.max))
+	for at, d := range o.max {
+		out = append(out, Outage{Service: at.service, Shard: at.shard, Longest: d})
+	}
+	slices.SortFunc(out, func(a, b Outage) int {
+		return cmp.Or(cmp.Compare(b.Longest, a.Longest), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Shard, b.Shard))
+	})
+	return out[:min(n, len(out))]
+}
+
+// Outage is the longest outage of one shard.
+type Outage struct {
+	Service key.Service
+	Shard   key.Shard
+	Longest time.Duration
+}
--- /dev/null
+++ b/internal/standin/ledger.go
@@ -0,0 +1,159 @@
+package standin
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"citrontray.example/citrontray/internal/grant"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/place"
+)
+
+// maxFindings bounds the descriptions of broken invariants that are kept.
+const maxFindings = 32
+
+// maxRuns bounds the operations whose runs are counted.
+const maxRuns = 4 << 20
+
+// Ledger records who owns what and what ran, over all targets of a process.
+// A shard that two targets hold at one instant is found when the second one
+// takes or lengthens its grant. Safe for concurrent use.
+type Ledger struct {
+	mu       sync.Mutex
+	owners   map[ownedShard]map[place.Target]ownership
+	runs     map[string]uint32 // by the caller's own id of the operation
+	keyed    map[string]uint32 // by idempotency key
+	counts   LedgerCounts
+	findings []string
+}
+
+// LedgerCounts is what the targets saw since the start.
+type LedgerCounts struct {
+	// DoubledOwner counts the shards found with two owners at one instant.
+	DoubledOwner uint64
+	// DoubledRun counts runs after the first of one idempotency key.
+	DoubledRun uint64
+	// Moves counts the changes of owner of a shard.
+	Moves uint64
+	// Runs counts all runs; Sheds, Misrouted and Late count refusals.
+	Runs, Sheds, Misrouted, Late uint64
+	// Refused counts connections beyond a target's limit.
+	Refused uint64
+}
+
+// ownedShard names one shard of one service.
+type ownedShard struct {
+	service key.Service
+	shard   key.Shard
+}
+
+// ownership is a target's hold of a shard until end.
+type ownership struct {
+	epoch grant.Epoch
+	end   time.Time
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{
+		owners: make(map[ownedShard]map[place.Target]ownership),
+		runs:   make(map[string]uint32),
+		keyed:  make(map[string]uint32),
+	}
+}
+
+// hold records that target holds the shard at epoch until end.
+func (l *Ledger) hold(now time.Time, service key.Service, target place.Target, held grant.Held, end time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at := ownedShard{service: service, shard: held.Shard}
+	row := l.owners[at]
+	if row == nil {
+		row = make(map[place.Target]ownership)
+		l.owners[at] = row
+	}
+	for other, o := range row {
+		if other != target && now.Before(o.end) {
+			l.counts.DoubledOwner++
+			l.find("doubled owner: %s shard %d: %s at epoch %d for another %s, and %s at epoch %d",
+				service, held.Shard, other, o.epoch, o.end.Sub(now), target, held.Epoch)
+		}
+	}
+	if _, known := row[target]; !known {
+		if len(row) > 0 {
+			l.counts.Moves++
+		}
+		clear(row)
+	}
+	row[target] = ownership{epoch: held.Epoch, end: end}
+}
+
+// drop records that target holds the shard no longer.
+func (l *Ledger) drop(now time.Time, service key.Service, target place.Target, shard key.Shard) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	row := l.owners[ownedShard{service: service, shard: shard}]
+	if o, ok := row[target]; ok && now.Before(o.end) {
+		o.end = now
+		row[target] = o
+	}
+}
+
+// run records that one piece of work starts. Operation is the caller's own id
+// of it; idempotency may be empty.
+func (l *Ledger) run(operation, idempotency string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts.Runs++
+	if operation != "" && (len(l.runs) < maxRuns || l.runs[operation] > 0) {
+		l.runs[operation]++
+	}
+	if idempotency == "" || (len(l.keyed) >= maxRuns && l.keyed[idempotency] == 0) {
+		return
+	}
+	l.keyed[idempotency]++
+	if l.keyed[idempotency] > 1 {
+		l.counts.DoubledRun++
+		l.find("doubled run: idempotency key %s ran %d times", idempotency, l.keyed[idempotency])
+	}
+}
+
+// count changes the counts under the lock.
+func (l *Ledger) count(change func(*LedgerCounts)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change(&l.counts)
+}
+
+// Counts returns the counts so far.
+func (l *Ledger) Counts() LedgerCounts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts
+}
+
+// Findings describes the first broken invariants.
+func (l *Ledger) Findings() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]string(nil), l.findings...)
+}
+
+// RunsOf returns how often each of the operations ran, in their order.
+func (l *Ledger) RunsOf(operations []string) []uint32 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]uint32, len(operations))
+	for i, operation := range operations {
+		out[i] = l.runs[operation]
+	}
+	return out
+}
+
+// find keeps one description. The caller holds mu.
+func (l *Ledger) find(format string, args ...any) {
+	if len(l.findings) < maxFindings {
+		l.findings = append(l.findings, fmt.Sprintf(format, args...))
+	}
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,316 @@
+// Package standin takes the place of the platform and of the targets in tests
+// and measurements: in one process, over real sockets, with faults on demand
+// and counts of all that happened.
+package standin
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/platform"
+)
+
+// maxValueBytes is the platform's bound on one value.
+const maxValueBytes = 1 << 20
+
+// maxChanges bounds the changes kept for watches; an older watch gets all
+// present values.
+const maxChanges = 4096
+
+// defaultFleetLag is how long a change takes to show in the fleet list.
+const defaultFleetLag = time.Second
+
+// Platform is the stand-in of the platform's service and of its fleet list.
+// It implements platform.Store; calls pass the faults first. Safe for
+// concurrent use.
+type Platform struct {
+	mu       sync.Mutex
+	revision platform.Revision
+	values   map[platform.Path]platform.Entry
+	previous map[platform.Path]platform.Entry // for answers with old values
+	changes  []platform.Change
+	changed  chan struct{} // closed at the next change
+	leases   map[string]lease
+
+	hosts   map[place.Host]lagging[place.HostRow]
+	targets map[place.Target]lagging[place.TargetRow]
+	lag     time.Duration
+
+	faults PlatformFaults
+	counts PlatformCounts
+	calls  map[platform.Caller]uint64
+	down   chan struct{} // closed when the store goes down
+}
+
+// lease is one named lease.
+type lease struct {
+	holder string
+	end    time.Time
+}
+
+// lagging is a row whose newest state shows only from at on.
+type lagging[T any] struct {
+	old, new T
+	known    bool // old is in the list
+	at       time.Time
+}
+
+// NewPlatform returns an empty platform without faults.
+func NewPlatform() *Platform {
+	return &Platform{
+		values:   make(map[platform.Path]platform.Entry),
+		previous: make(map[platform.Path]platform.Entry),
+		changed:  make(chan struct{}),
+		leases:   make(map[string]lease),
+		hosts:    make(map[place.Host]lagging[place.HostRow]),
+		targets:  make(map[place.Target]lagging[place.TargetRow]),
+		lag:      defaultFleetLag,
+		calls:    make(map[platform.Caller]uint64),
+		down:     make(chan struct{}),
+	}
+}
+
+// Get implements platform.Store.
+func (p *Platform) Get(ctx context.Context, path platform.Path) (platform.Entry, error) {
+	done, err := p.enter(ctx, readCall)
+	if err != nil {
+		return platform.Entry{}, err
+	}
+	p.mu.Lock()
+	entry, ok := p.values[path]
+	if p.faults.OldValues {
+		if old, found := p.previous[path]; found {
+			entry, ok = old, true
+		}
+	}
+	p.mu.Unlock()
+	if !ok {
+		return platform.Entry{}, platform.ErrNotFound
+	}
+	return entry, done()
+}
+
+// List implements platform.Store.
+func (p *Platform) List(ctx context.Context, prefix platform.Path) ([]platform.Entry, platform.Revision, error) {
+	done, err := p.enter(ctx, readCall)
+	if err != nil {
+		return nil, 0, err
+	}
+	p.mu.Lock()
+	entries := p.below(prefix)
+	revision := p.revision
+	p.mu.Unlock()
+	return entries, revision, done()
+}
+
+// Write implements platform.Store.
+func (p *Platform) Write(ctx context.Context, path platform.Path, value []byte, expect platform.Revision) (platform.Revision, error) {
+	if len(value) > maxValueBytes {
+		return 0, fmt.Errorf("%w: value has %d bytes", platform.ErrUnavailable, len(value))
+	}
+	return p.change(ctx, platform.Change{Entry: platform.Entry{Path: path, Value: slices.Clone(value)}}, expect)
+}
+
+// Delete implements platform.Store.
+func (p *Platform) Delete(ctx context.Context, path platform.Path, expect platform.Revision) error {
+	_, err := p.change(ctx, platform.Change{Entry: platform.Entry{Path: path}, Deleted: true}, expect)
+	return err
+}
+
+// change is the compare-and-swap below Write and Delete.
+func (p *Platform) change(ctx context.Context, change platform.Change, expect platform.Revision) (platform.Revision, error) {
+	done, err := p.enter(ctx, writeCall)
+	if err != nil {
+		return 0, err
+	}
+	p.mu.Lock()
+	current := p.values[change.Path]
+	if current.Revision != expect {
+		p.counts.Conflicts++
+		p.mu.Unlock()
+		return 0, &platform.ConflictError{Path: change.Path, Current: current.Revision}
+	}
+	p.revision++
+	change.Revision = p.revision
+	p.apply(change, current)
+	p.mu.Unlock()
+	return change.Revision, done()
+}
+
+// apply stores a change and wakes the watches. The caller holds mu.
+func (p *Platform) apply(change platform.Change, current platform.Entry) {
+	if current.Revision != 0 {
+		p.previous[change.Path] = current
+	}
+	if change.Deleted {
+		delete(p.values, change.Path)
+	} else {
+		p.values[change.Path] = change.Entry
+	}
+	p.changes = append(p.changes, change)
+	if len(p.changes) > maxChanges {
+		p.changes = slices.Clone(p.changes[len(p.changes)-maxChanges/2:])
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Watch implements platform.Store.
+func (p *Platform) Watch(ctx context.Context, prefix platform.Path, from platform.Revision) ([]platform.Change, platform.Revision, error) {
+	done, err := p.enter(ctx, readCall)
+	if err != nil {
+		return nil, from, err
+	}
+	timeout := time.NewTimer(platform.WatchTimeout)
+	defer timeout.Stop()
+	for {
+		p.mu.Lock()
+		changes, revision := p.since(prefix, from), p.revision
+		changed, down := p.changed, p.down
+		p.mu.Unlock()
+		if len(changes) > 0 {
+			return changes, revision, done()
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return nil, revision, done()
+		case <-down:
+			return nil, from, platform.ErrUnavailable
+		case <-ctx.Done():
+			return nil, from, ctx.Err()
+		}
+	}
+}
+
+// since returns the changes below prefix after from. The caller holds mu.
+func (p *Platform) since(prefix platform.Path, from platform.Revision) []platform.Change {
+	var out []platform.Change
+	if len(p.changes) > 0 && p.changes[0].Revision > from+1 {
+		for _, entry := range p.below(prefix) {
+			if entry.Revision > from {
+				out = append(out, platform.Change{Entry: entry})
+			}
+		}
+		return out
+	}
+	for _, change := range p.changes {
+		if change.Revision > from && strings.HasPrefix(string(change.Path), string(prefix)) {
+			out = append(out, change)
+		}
+	}
+	return out
+}
+
+// below returns the values below prefix, sorted. The caller holds mu.
+func (p *Platform) below(prefix platform.Path) []platform.Entry {
+	var out []platform.Entry
+	for path, entry := range p.values {
+		if strings.HasPrefix(string(path), string(prefix)) {
+			out = append(out, entry)
+		}
+	}
+	slices.SortFunc(out, func(a, b platform.Entry) int { return cmp.Compare(a.Path, b.Path) })
+	return out
+}
+
+// Acquire implements platform.Store.
+func (p *Platform) Acquire(ctx context.Context, name, holder string, ttl time.Duration) (platform.Lease, error) {
+	done, err := p.enter(ctx, writeCall)
+	if err != nil {
+		return platform.Lease{}, err
+	}
+	now := time.Now()
+	p.mu.Lock()
+	current, ok := p.leases[name]
+	if !ok || current.holder == holder || !now.Before(current.end) {
+		current = lease{holder: holder, end: now.Add(ttl)}
+		p.leases[name] = current
+	}
+	p.mu.Unlock()
+	return platform.Lease{
+		Holder: current.holder,
+		Held:   current.holder == holder,
+		TTL:    current.end.Sub(now),
+	}, done()
+}
+
+// Release implements platform.Store.
+func (p *Platform) Release(ctx context.Context, name, holder string) error {
+	done, err := p.enter(ctx, writeCall)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	if p.leases[name].holder == holder {
+		delete(p.leases, name)
+	}
+	p.mu.Unlock()
+	return done()
+}
+
+// Fleet implements platform.Store.
+func (p *Platform) Fleet(ctx context.Context) (platform.Fleet, error) {
+	done, err := p.enter(ctx, readCall)
+	if err != nil {
+		return platform.Fleet{}, err
+	}
+	now := time.Now()
+	var fleet platform.Fleet
+	p.mu.Lock()
+	for _, row := range p.hosts {
+		if host, ok := row.seen(now); ok && host.State != place.Absent {
+			fleet.Hosts = append(fleet.Hosts, host)
+		}
+	}
+	for _, row := range p.targets {
+		if target, ok := row.seen(now); ok && target.State != place.Absent {
+			fleet.Targets = append(fleet.Targets, target)
+		}
+	}
+	p.mu.Unlock()
+	slices.SortFunc(fleet.Hosts, func(a, b place.HostRow) int { return cmp.Compare(a.Host, b.Host) })
+	slices.SortFunc(fleet.Targets, func(a, b place.TargetRow) int { return cmp.Compare(a.Target, b.Target) })
+	return fleet, done()
+}
+
+// SetHost changes a row of the list; it shows after the lag.
+func (p *Platform) SetHost(now time.Time, row place.HostRow) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hosts[row.Host] = p.hosts[row.Host].next(row, now, p.lag)
+}
+
+// SetTarget changes a row of the list; it shows after the lag.
+func (p *Platform) SetTarget(now time.Time, row place.TargetRow) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.targets[row.Target] = p.targets[row.Target].next(row, now, p.lag)
+}
+
+// SetFleetLag sets how long later changes take to show.
+func (p *Platform) SetFleetLag(lag time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lag = lag
+}
+
+// next returns the row with a new state that shows after lag.
+func (l lagging[T]) next(row T, now time.Time, lag time.Duration) lagging[T] {
+	old, known := l.seen(now)
+	return lagging[T]{old: old, known: known, new: row, at: now.Add(lag)}
+}
+
+// seen returns what the list shows at now.
+func (l lagging[T]) seen(now time.Time) (T, bool) {
+	if !l.at.IsZero() && !now.Before(l.at) {
+		return l.new, true
+	}
+	return l.old, l.known
+}
--- /dev/null
+++ b/internal/standin/platformfaults.go
@@ -0,0 +1,141 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/platform"
+)
+
+// errLost makes the handler answer in a way that leaves the outcome open.
+var errLost = errors.New("standin: answer lost after the call took effect")
+
+// PlatformFaults is what goes wrong at the platform. The zero value: nothing.
+type PlatformFaults struct {
+	// Down refuses every call and ends the waiting watches.
+	Down bool
+	// SlowMin and SlowMax bound the delay of each call before it takes effect.
+	SlowMin, SlowMax time.Duration
+	// LoseAnswers is the part of the calls, 0 to 1, that take effect and
+	// whose answer is then lost.
+	LoseAnswers float64
+	// OldValues answers reads with the value before the newest one.
+	OldValues bool
+	// CutHosts and CutZones are the callers that are refused.
+	CutHosts []place.Host
+	CutZones []place.Zone
+}
+
+// PlatformCounts counts what callers did since the start. A waiting watch is
+// one read.
+type PlatformCounts struct {
+	Reads, Writes, Conflicts, Refused, LostAnswers uint64
+}
+
+// callKind tells a read from a write.
+type callKind uint8
+
+const (
+	readCall callKind = iota
+	writeCall
+)
+
+// SetFaults replaces the faults.
+func (p *Platform) SetFaults(faults PlatformFaults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if faults.Down && !p.faults.Down {
+		close(p.down)
+	}
+	if !faults.Down && p.faults.Down {
+		p.down = make(chan struct{})
+	}
+	p.faults = faults
+}
+
+// Faults returns the faults in force.
+func (p *Platform) Faults() PlatformFaults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults
+}
+
+// Counts returns the counts so far.
+func (p *Platform) Counts() PlatformCounts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counts
+}
+
+// Calls returns the number of calls of each caller so far.
+func (p *Platform) Calls() map[platform.Caller]uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.calls)
+}
+
+// enter counts a call and lets the faults act on it. The function that it
+// returns gives the error to answer with after the call took effect.
+func (p *Platform) enter(ctx context.Context, kind callKind) (func() error, error) {
+	caller := platform.CallerOf(ctx)
+	p.mu.Lock()
+	p.calls[caller]++
+	if kind == readCall {
+		p.counts.Reads++
+	} else {
+		p.counts.Writes++
+	}
+	faults := p.faults
+	if faults.refuses(caller) {
+		p.counts.Refused++
+		p.mu.Unlock()
+		return nil, platform.ErrUnavailable
+	}
+	p.mu.Unlock()
+	if err := sleep(ctx, faults.delay()); err != nil {
+		return nil, err
+	}
+	return p.leave, nil
+}
+
+// leave decides whether the answer is lost.
+func (p *Platform) leave() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.LoseAnswers > 0 && rand.Float64() < p.faults.LoseAnswers {
+		p.counts.LostAnswers++
+		return errLost
+	}
+	return nil
+}
+
+func (f PlatformFaults) refuses(caller platform.Caller) bool {
+	return f.Down || slices.Contains(f.CutHosts, caller.Host) || slices.Contains(f.CutZones, caller.Zone)
+}
+
+func (f PlatformFaults) delay() time.Duration {
+	if f.SlowMax <= f.SlowMin {
+		return f.SlowMin
+	}
+	return f.SlowMin + rand.N(f.SlowMax-f.SlowMin)
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/standin/targetfaults.go
@@ -0,0 +1,198 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"hash/fnv"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"citrontray.example/citrontray/internal/target"
+)
+
+// OperationParameter is the query parameter by which a caller names its own
+// operation; runs are counted by it.
+const OperationParameter = "operation"
+
+// oversizedBytes is the length of an oversized answer.
+const oversizedBytes = 16 << 20
+
+// lateBy is how long a late answer is held back.
+const lateBy = 3 * time.Second
+
+// TargetFaults is what goes wrong at one target. The probabilities are from 0
+// to 1, for each request.
+type TargetFaults struct {
+	// Cut closes the connection before the answer, Truncated within it.
+	Cut, Truncated float64
+	// Late holds the answer back for 3 s; Crossed gives the answer of an
+	// earlier request; Oversized gives 16 MiB.
+	Late, Crossed, Oversized float64
+	// Shed refuses as busy.
+	Shed float64
+	// Slow is added to each run.
+	Slow time.Duration
+	// AnswerBytes pads each answer.
+	AnswerBytes int
+	// LyingHealth makes the health endpoint always tell that it is idle.
+	LyingHealth bool
+	// Draining makes the target ask to leave in its answers to orders.
+	Draining bool
+}
+
+// SetFaults replaces the faults.
+func (t *Target) SetFaults(faults TargetFaults) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = faults
+}
+
+func (t *Target) faultsNow() TargetFaults {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.faults
+}
+
+// hits decides a probability.
+func (TargetFaults) hits(probability float64) bool {
+	return probability > 0 && rand.Float64() < probability
+}
+
+// Freeze stops the target between any two steps of its work, as if the
+// process were paused; its clock goes on.
+func (t *Target) Freeze() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	select {
+	case <-t.gate:
+		t.gate = make(chan struct{})
+	default:
+	}
+}
+
+// Thaw lets the target go on as if nothing had happened.
+func (t *Target) Thaw() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	select {
+	case <-t.gate:
+	default:
+		close(t.gate)
+	}
+}
+
+// pass waits while the target is frozen; it reports false where its life has
+// ended.
+func (t *Target) pass(l *life) bool {
+	t.mu.Lock()
+	gate := t.gate
+	t.mu.Unlock()
+	select {
+	case <-gate:
+	case <-l.done:
+	}
+	select {
+	case <-l.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Kill ends the target's process: connections are cut, holdings are gone.
+func (t *Target) Kill() {
+	t.mu.Lock()
+	l := t.life
+	t.life = nil
+	if l == nil {
+		t.mu.Unlock()
+		return
+	}
+	now := time.Now()
+	for shard := range l.held {
+		t.ledger.drop(now, t.config.Service, t.config.Name, shard)
+	}
+	t.mu.Unlock()
+	_ = l.server.Close()
+	<-l.done
+}
+
+// Stop ends the target after the work in flight, or at the end of ctx.
+func (t *Target) Stop(ctx context.Context) {
+	t.mu.Lock()
+	l := t.life
+	t.mu.Unlock()
+	if l != nil {
+		_ = l.server.Shutdown(ctx)
+	}
+	t.Kill()
+}
+
+// answer writes an answer, or what the faults make of it.
+func (t *Target) answer(w http.ResponseWriter, faults TargetFaults, answer answered) {
+	if faults.hits(faults.Late) {
+		time.Sleep(lateBy)
+	}
+	if faults.hits(faults.Cut) {
+		panic(http.ErrAbortHandler)
+	}
+	if faults.hits(faults.Crossed) {
+		answer = t.swap(answer)
+		w.Header().Set(target.HeaderRequest, answer.request)
+	}
+	if faults.hits(faults.Oversized) {
+		answer.body = append(answer.body, make([]byte, oversizedBytes)...)
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
+	if faults.hits(faults.Truncated) {
+		w.Write(answer.body[:len(answer.body)/2])
+		panic(http.ErrAbortHandler)
+	}
+	w.Write(answer.body)
+}
+
+// swap returns the answer given before and keeps this one for the next.
+func (t *Target) swap(answer answered) answered {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	previous := t.previous
+	t.previous = answer
+	if previous.body == nil {
+		return answer
+	}
+	return previous
+}
+
+// AnswerBody is the answer to a request: its path and query, the checksum of
+// its body, padding, and the checksum of all that. CheckAnswer knows it again.
+func AnswerBody(uri string, payload []byte, padding int) []byte {
+	var out bytes.Buffer
+	out.WriteString(uri)
+	out.WriteByte('\n')
+	out.Write(checksum(payload))
+	out.Write(make([]byte, padding))
+	out.Write(checksum(out.Bytes()))
+	return out.Bytes()
+}
+
+// CheckAnswer reports whether body is the whole answer to that request.
+func CheckAnswer(body []byte, uri string, payload []byte) bool {
+	cut := len(body) - checksumBytes
+	if cut < 0 || !bytes.Equal(checksum(body[:cut]), body[cut:]) {
+		return false
+	}
+	want := append([]byte(uri+"\n"), checksum(payload)...)
+	return bytes.HasPrefix(body, want)
+}
+
+const checksumBytes = 8
+
+func checksum(b []byte) []byte {
+	h := fnv.New64a()
+	h.Write(b) //nolint:errcheck // never fails
+	return binary.BigEndian.AppendUint64(nil, h.Sum64())
+}
