Stand-ins tested; open-loop load that checks every answer

The truncated answer was never sent: the server held the half answer back until the connection was cut. It is flushed now; the test showed it.

--- /dev/null
+++ b/internal/load/result.go
@@ -0,0 +1,206 @@
+package load
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/settings"
+)
+
+const (
+	lowestMicros  = 1
+	highestMicros = 120_000_000
+	digits        = 3
+	// maxExamples bounds the descriptions of bad ends that are kept.
+	maxExamples = 16
+)
+
+// Result records how all calls of a generator ended. Safe for concurrent use.
+type Result struct {
+	mu        sync.Mutex
+	latency   *hdrhistogram.Histogram
+	byClass   map[settings.Class]*hdrhistogram.Histogram
+	done      []string // operations, to compare with what ran
+	notRun    []string
+	counts    Counts
+	reasons   map[string]uint64
+	outages   *Outages
+	examples  []string
+	firstDone time.Time
+	lastDone  time.Time
+}
+
+// Counts is how many calls ended in each way.
+type Counts struct {
+	Requests, Done, NotRun, Unknown, Lost, Wrong uint64
+	// Dropped counts arrivals that the generator had no room for.
+	Dropped uint64
+}
+
+// NewResult returns an empty record.
+func NewResult() *Result {
+	return &Result{
+		latency: newHistogram(),
+		byClass: make(map[settings.Class]*hdrhistogram.Histogram),
+		reasons: make(map[string]uint64),
+		outages: NewOutages(),
+	}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowestMicros, highestMicros, digits)
+}
+
+// record takes the end of one call.
+func (r *Result) record(c call, shard key.Shard, end ended, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts.Requests++
+	switch end.ending {
+	case endDone:
+		r.recordDone(c, shard, now)
+		return
+	case endNotRun:
+		r.counts.NotRun++
+		r.notRun = append(r.notRun, c.operation)
+	case endUnknown:
+		r.counts.Unknown++
+	case endLost:
+		r.counts.Lost++
+		r.example("no answer: %s %s: %s, status %d", c.stream.Method, c.uri(), end.reason, end.status)
+	case endWrong:
+		r.counts.Wrong++
+		r.example("wrong answer: %s %s: %s, status %d", c.stream.Method, c.uri(), end.reason, end.status)
+	}
+	r.reasons[end.reason]++
+	if !shed(end.reason) {
+		r.outages.Failed(c.stream.Service, shard, c.due)
+	}
+}
+
+func (r *Result) recordDone(c call, shard key.Shard, now time.Time) {
+	r.counts.Done++
+	r.done = append(r.done, c.operation)
+	r.outages.Served(c.stream.Service, shard, c.due, now)
+	micros := min(now.Sub(c.due).Microseconds(), highestMicros)
+	_ = r.latency.RecordValue(micros) // bounded above
+	class := r.byClass[c.stream.Class]
+	if class == nil {
+		class = newHistogram()
+		r.byClass[c.stream.Class] = class
+	}
+	_ = class.RecordValue(micros)
+	if r.firstDone.IsZero() {
+		r.firstDone = now
+	}
+	r.lastDone = now
+}
+
+// shed reports whether a refusal is for load, not for want of an owner.
+func shed(reason string) bool {
+	return reason == reasonOverload || reason == reasonLimited
+}
+
+func (r *Result) drop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts.Dropped++
+}
+
+// example keeps one description. The caller holds mu.
+func (r *Result) example(format string, args ...any) {
+	if len(r.examples) < maxExamples {
+		r.examples = append(r.examples, fmt.Sprintf(format, args...))
+	}
+}
+
+// Runs tells how often each of the operations ran at the targets.
+type Runs func(operations []string) ([]uint32, error)
+
+// Summary is what a load came to.
+type Summary struct {
+	Counts
+	P50, P99 time.Duration
+	Classes  map[settings.Class]Percentiles
+	// PerSecond is the rate of requests that were done.
+	PerSecond float64
+	// FalseNotRun counts operations that ran though the caller was told that
+	// they did not; Unrun those that did not run though it was told done.
+	FalseNotRun, Unrun uint64
+	OutageSum          time.Duration
+	OutageMax          time.Duration
+	OutageShards       int
+	Worst              []Outage
+	Reasons            map[string]uint64
+	Examples           []string
+}
+
+// Percentiles are those of one class.
+type Percentiles struct{ P50, P99 time.Duration }
+
+// worstShown is how many of the longest outages a summary names.
+const worstShown = 5
+
+// Summarize ends the record at now and compares it with what ran.
+func (r *Result) Summarize(now time.Time, runs Runs) (Summary, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outages.Finish(now)
+	s := Summary{
+		Counts:   r.counts,
+		P50:      percentile(r.latency, 50),
+		P99:      percentile(r.latency, 99),
+		Classes:  make(map[settings.Class]Percentiles),
+		Worst:    r.outages.Worst(worstShown),
+		Reasons:  r.reasons,
+		Examples: r.examples,
+	}
+	s.OutageSum, s.OutageMax, s.OutageShards = r.outages.Totals()
+	for class, histogram := range r.byClass {
+		s.Classes[class] = Percentiles{P50: percentile(histogram, 50), P99: percentile(histogram, 99)}
+	}
+	if span := r.lastDone.Sub(r.firstDone); span > 0 {
+		s.PerSecond = float64(r.counts.Done) / span.Seconds()
+	}
+	return s, r.compare(&s, runs)
+}
+
+// compare asks the targets what ran.
+func (r *Result) compare(s *Summary, runs Runs) error {
+	counts, err := runs(r.notRun)
+	if err != nil {
+		return err
+	}
+	for i, n := range counts {
+		if n > 0 {
+			s.FalseNotRun++
+			r.example("false not-run: operation %s ran %d times", r.notRun[i], n)
+		}
+	}
+	if counts, err = runs(r.done); err != nil {
+		return err
+	}
+	for i, n := range counts {
+		if n == 0 {
+			s.Unrun++
+			r.example("done but never ran: operation %s", r.done[i])
+		}
+	}
+	s.Examples = r.examples
+	return nil
+}
+
+func percentile(h *hdrhistogram.Histogram, p float64) time.Duration {
+	return time.Duration(h.ValueAtPercentile(p)) * time.Microsecond
+}
+
+// Counts returns the counts so far.
+func (r *Result) Counts() Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.counts
+}
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -157,3 +157,25 @@
 		l.findings = append(l.findings, fmt.Sprintf(format, args...))
 	}
 }
+
+// Owned returns how many shards of the service have an owner at now.
+func (l *Ledger) Owned(now time.Time, service key.Service) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for at, row := range l.owners {
+		if at.service == service && anyOwner(now, row) {
+			n++
+		}
+	}
+	return n
+}
+
+func anyOwner(now time.Time, row map[place.Target]ownership) bool {
+	for _, o := range row {
+		if now.Before(o.end) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -314,3 +314,13 @@
 	}
 	return l.old, l.known
 }
+
+// Holder returns who holds a lease at now, or "".
+func (p *Platform) Holder(now time.Time, name string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.leases[name]; now.Before(l.end) {
+		return l.holder
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/standin/target_test.go
@@ -0,0 +1,169 @@
+package standin_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/grant"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/platform"
+	"citrontray.example/citrontray/internal/standin"
+	"citrontray.example/citrontray/internal/target"
+)
+
+func asConflict(err error, conflict **platform.ConflictError) bool {
+	return errors.As(err, conflict)
+}
+
+// newFarm returns two started targets of one service.
+func newFarm(t *testing.T) *standin.Farm {
+	t.Helper()
+	farm := standin.NewFarm([]standin.Group{{
+		Count: 2,
+		TargetConfig: standin.TargetConfig{
+			Service: "balance", Slots: 2, Connections: 10, ChecksTerms: true,
+		},
+	}}, []place.Zone{"zone-a"})
+	assert.NilError(t, farm.Start())
+	t.Cleanup(func() {
+		for _, member := range farm.Targets() {
+			member.Kill()
+		}
+	})
+	return farm
+}
+
+// give grants shard 1 at the epoch to a target for an hour.
+func give(t *testing.T, to *standin.Target, epoch grant.Epoch) {
+	t.Helper()
+	control := target.NewControl(5 * time.Second)
+	defer control.Close()
+	ctx := context.Background()
+	answer, err := control.Order(ctx, to.Addr(), grant.Order{Service: "balance", Term: 1})
+	assert.NilError(t, err)
+	answer, err = control.Order(ctx, to.Addr(), grant.Order{
+		Service: "balance", Term: 1, Incarnation: answer.Incarnation,
+		Anchor: answer.Clock, Duration: time.Hour, Inventory: true,
+		Items: []grant.Item{{Shard: 1, Epoch: epoch, Kind: grant.Grant}},
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, len(answer.Held), 1)
+}
+
+// ask sends one request for shard 1.
+func ask(t *testing.T, to *standin.Target, epoch, uri, body string) (http.Header, []byte, error) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+to.Addr().String()+uri, strings.NewReader(body))
+	assert.NilError(t, err)
+	request.Header.Set(target.HeaderShard, "1")
+	request.Header.Set(target.HeaderEpoch, epoch)
+	request.Header.Set(target.HeaderRequest, "r1")
+	request.Header.Set(target.HeaderIdempotency, "once")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer response.Body.Close()
+	got, err := io.ReadAll(response.Body)
+	return response.Header, got, err
+}
+
+func TestTargetRunsWhatItOwns(t *testing.T) {
+	farm := newFarm(t)
+	first := farm.Targets()[0]
+	give(t, first, 3)
+	const uri = "/balance/k?operation=op1"
+	header, body, err := ask(t, first, "3", uri, "hello")
+	assert.NilError(t, err)
+	assert.Equal(t, header.Get(target.HeaderRequest), "r1")
+	assert.Assert(t, standin.CheckAnswer(body, uri, []byte("hello")))
+	assert.Assert(t, !standin.CheckAnswer(body, uri, []byte("other")))
+	assert.Assert(t, !standin.CheckAnswer(body[:len(body)-1], uri, []byte("hello")))
+
+	header, _, err = ask(t, first, "2", uri, "hello")
+	assert.NilError(t, err)
+	assert.Equal(t, header.Get(target.HeaderNotRun), string(target.RefusalOwner))
+	assert.DeepEqual(t, farm.Ledger.RunsOf([]string{"op1", "op2"}), []uint32{1, 0})
+}
+
+func TestLedgerFindsADoubledOwner(t *testing.T) {
+	farm := newFarm(t)
+	give(t, farm.Targets()[0], 3)
+	assert.Equal(t, farm.Ledger.Counts().DoubledOwner, uint64(0))
+	give(t, farm.Targets()[1], 4)
+	assert.Equal(t, farm.Ledger.Counts().DoubledOwner, uint64(1))
+}
+
+func TestLedgerFindsNoDoubledOwnerAfterAKill(t *testing.T) {
+	farm := newFarm(t)
+	give(t, farm.Targets()[0], 3)
+	farm.Targets()[0].Kill()
+	give(t, farm.Targets()[1], 4)
+	counts := farm.Ledger.Counts()
+	assert.Equal(t, counts.DoubledOwner, uint64(0))
+	assert.Equal(t, counts.Moves, uint64(1))
+}
+
+func TestLedgerFindsADoubledRun(t *testing.T) {
+	farm := newFarm(t)
+	give(t, farm.Targets()[0], 3)
+	for range 2 {
+		_, _, err := ask(t, farm.Targets()[0], "3", "/plans/k?operation=op1", "")
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, farm.Ledger.Counts().DoubledRun, uint64(1))
+}
+
+func TestTargetFaults(t *testing.T) {
+	tests := map[string]struct {
+		faults standin.TargetFaults
+		check  func(t *testing.T, header http.Header, body []byte, err error)
+	}{
+		"cut": {standin.TargetFaults{Cut: 1}, func(t *testing.T, _ http.Header, _ []byte, err error) {
+			assert.Assert(t, err != nil)
+		}},
+		"truncated": {standin.TargetFaults{Truncated: 1}, func(t *testing.T, _ http.Header, _ []byte, err error) {
+			assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		}},
+		"shed": {standin.TargetFaults{Shed: 1}, func(t *testing.T, header http.Header, _ []byte, err error) {
+			assert.NilError(t, err)
+			assert.Equal(t, header.Get(target.HeaderNotRun), string(target.RefusalBusy))
+		}},
+		"oversized": {standin.TargetFaults{Oversized: 1}, func(t *testing.T, _ http.Header, body []byte, err error) {
+			assert.NilError(t, err)
+			assert.Assert(t, len(body) > 16<<20)
+		}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			farm := newFarm(t)
+			give(t, farm.Targets()[0], 3)
+			farm.Targets()[0].SetFaults(tt.faults)
+			header, body, err := ask(t, farm.Targets()[0], "3", "/balance/k?operation=op1", "")
+			tt.check(t, header, body, err)
+		})
+	}
+}
+
+func TestTargetFrozenRunsAfterItsThaw(t *testing.T) {
+	farm := newFarm(t)
+	first := farm.Targets()[0]
+	give(t, first, 3)
+	first.Freeze()
+	ended := make(chan error, 1)
+	go func() {
+		_, _, err := ask(t, first, "3", "/balance/k?operation=op1", "")
+		ended <- err
+	}()
+	assert.DeepEqual(t, farm.Ledger.RunsOf([]string{"op1"}), []uint32{0})
+	first.Thaw()
+	assert.NilError(t, <-ended)
+	assert.DeepEqual(t, farm.Ledger.RunsOf([]string{"op1"}), []uint32{1})
+}
--- a/internal/standin/targetfaults.go
+++ b/internal/standin/targetfaults.go
@@ -150,6 +150,7 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
 	if faults.hits(faults.Truncated) {
 		w.Write(answer.body[:len(answer.body)/2])
+		_ = http.NewResponseController(w).Flush() // else nothing would go out
 		panic(http.ErrAbortHandler)
 	}
 	w.Write(answer.body)
