Bench of scenarios on real processes; demo and its scripts

A process of the system starts no other: the lab process asks a script, which starts and stops the daemons.

--- a/Makefile
+++ b/Makefile
@@ -35,5 +35,17 @@
 ci: ## run everything that CI runs
 	bash .ci/run
 
+demo: build ## run the whole system for a few seconds, DEMO=agency or consortium
+	@scripts/demo.sh $(DEMO)
+
+# Without SCENARIO or PRESET all of them run, one after the other.
+SCENARIO ?= $(shell bin/citrontray-lab scenarios 2>/dev/null | cut -d' ' -f1)
+PRESET ?= agency consortium
+
+bench: build ## run scenarios of the bench, SCENARIO=steady PRESET=agency
+	@status=0; for preset in $(PRESET); do for scenario in $(SCENARIO); do \
+		echo "# $$scenario $$preset"; scripts/bench.sh $$scenario $$preset || status=1; \
+	done; done; exit $$status
+
 clean: ## remove what the targets made
 	rm -rf bin out
--- /dev/null
+++ b/cmd/citrontray-lab/main.go
@@ -0,0 +1,14 @@
+// Command citrontray-lab holds the stand-ins of the platform and the targets,
+// the load generator and the bench. It is for developers and never part of a
+// deployment.
+package main
+
+import (
+	"os"
+
+	"citrontray.example/citrontray/internal/lab"
+)
+
+func main() {
+	os.Exit(lab.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/bench/act.go
@@ -0,0 +1,97 @@
+package bench
+
+import (
+	"fmt"
+	"time"
+
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/standin"
+)
+
+// act carries out one action.
+func (r *Run) act(action Action) error {
+	switch a := action.(type) {
+	case KillTarget:
+		r.target(a.Target).Kill()
+	case RestartTarget:
+		return r.target(a.Target).Start()
+	case FreezeTarget:
+		r.target(a.Target).Freeze()
+	case ThawTarget:
+		r.target(a.Target).Thaw()
+	case StoreDown:
+		r.platform.SetFaults(standin.PlatformFaults{Down: true})
+	case StoreSlow:
+		r.platform.SetFaults(standin.PlatformFaults{SlowMin: slowMin, SlowMax: slowMax})
+	case StoreUp:
+		r.platform.SetFaults(standin.PlatformFaults{})
+	case CutZone:
+		r.platform.SetFaults(standin.PlatformFaults{CutZones: []place.Zone{r.Preset.Zones[a.Zone]}})
+	case JoinZone:
+		r.platform.SetFaults(standin.PlatformFaults{})
+	case SetLoad:
+		r.measured.SetFactor(a.Load / r.Scenario.Load)
+	case SetHot:
+		r.measured.SetHot(a.Hot)
+	default:
+		return r.actOnHosts(action)
+	}
+	return nil
+}
+
+// actOnHosts carries out an action that the script has a part in.
+func (r *Run) actOnHosts(action Action) error {
+	switch a := action.(type) {
+	case KillLead:
+		r.led = r.leadOfFirstCell(time.Now())
+		return r.Director.Signal("KILL", r.led, LeadPart)
+	case StartLead:
+		return r.Director.Start(r.led, LeadPart)
+	case PauseLead:
+		r.led = r.leadOfFirstCell(time.Now())
+		return r.Director.Signal("STOP", r.led, LeadPart)
+	case ResumeLead:
+		return r.Director.Signal("CONT", r.led, LeadPart)
+	case ReplaceHost:
+		if a.Host < len(r.Hosts) {
+			return r.replace(r.Hosts[a.Host])
+		}
+		return nil
+	case DrainTarget:
+		return r.Director.Operate("drain", string(r.target(a.Target).Name()))
+	case RaceSettings:
+		return r.Director.Operate("race")
+	}
+	return fmt.Errorf("bench: no such action as %T", action)
+}
+
+// target returns a target by its number within the deployment.
+func (r *Run) target(n int) *standin.Target { return r.farm.Targets()[n] }
+
+// leadOfFirstCell returns the holder of the lease of the cell that the first
+// target is in.
+func (r *Run) leadOfFirstCell(now time.Time) place.Host {
+	first := r.target(0)
+	holder := r.platform.Holder(now, fmt.Sprintf("lease/%s/%s", first.Service(), first.Zone()))
+	if holder == "" {
+		return r.Hosts[0].Name
+	}
+	return place.Host(holder)
+}
+
+// replace stops a host as planned and starts a new one in its place.
+func (r *Run) replace(host Host) error {
+	r.platform.SetHost(time.Now(), host.row(place.Leaving))
+	for _, part := range []Part{EntryPart, LeadPart} {
+		if err := r.Director.Stop(host.Name, part); err != nil {
+			return err
+		}
+	}
+	for _, part := range []Part{LeadPart, EntryPart} {
+		if err := r.Director.Start(host.Name, part); err != nil {
+			return err
+		}
+	}
+	r.platform.SetHost(time.Now(), host.row(place.Live))
+	return nil
+}
--- /dev/null
+++ b/internal/bench/hosts.go
@@ -0,0 +1,66 @@
+package bench
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+
+	"citrontray.example/citrontray/internal/finding"
+	"citrontray.example/citrontray/internal/load"
+	"citrontray.example/citrontray/internal/place"
+)
+
+// hostFields is the number of words in a line of the hosts file.
+const hostFields = 7
+
+// Host is one entry host of the deployment, as the script starts it.
+type Host struct {
+	Name place.Host
+	Zone place.Zone
+	// LeadPeer and EntryPeer are UDP addresses.
+	LeadPeer, EntryPeer netip.AddrPort
+	// Callers takes requests; the others are admin addresses.
+	Callers, EntryAdmin, LeadAdmin netip.AddrPort
+}
+
+// ReadHosts reads a hosts file: for each host a line with its name, zone, and
+// the addresses in the order of Host. Findings name the line.
+func ReadHosts(path string) ([]Host, error) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var findings finding.List
+	var hosts []Host
+	for i, line := range strings.Split(strings.TrimSpace(string(body)), "\n") {
+		at := fmt.Sprintf("%s:%d", path, i+1)
+		words := strings.Fields(line)
+		if len(words) != hostFields {
+			findings.Add(at, fmt.Sprintf("has %d words", len(words)), fmt.Sprintf("write %d", hostFields))
+			continue
+		}
+		host := Host{Name: place.Host(words[0]), Zone: place.Zone(words[1])}
+		for j, addr := range []*netip.AddrPort{&host.LeadPeer, &host.EntryPeer, &host.Callers, &host.EntryAdmin, &host.LeadAdmin} {
+			if *addr, err = netip.ParseAddrPort(words[j+2]); err != nil {
+				findings.Add(at, fmt.Sprintf("%q is not an address", words[j+2]), "write IP:PORT")
+			}
+		}
+		hosts = append(hosts, host)
+	}
+	return hosts, findings.Err()
+}
+
+// row returns the host's row of the platform's list.
+func (h Host) row(state place.Liveness) place.HostRow {
+	return place.HostRow{Host: h.Name, Zone: h.Zone, State: state, Lead: h.LeadPeer, Entry: h.EntryPeer}
+}
+
+// entryHosts returns what the balancer needs to know.
+func entryHosts(hosts []Host) []load.EntryHost {
+	out := make([]load.EntryHost, len(hosts))
+	for i, h := range hosts {
+		out[i] = load.EntryHost{Callers: h.Callers, Admin: h.EntryAdmin}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/bench/process.go
@@ -0,0 +1,72 @@
+package bench
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// clockTick is the unit of processor time in /proc on Linux.
+const clockTick = 10 * time.Millisecond
+
+// The fields of /proc/<pid>/stat after the command's name.
+const (
+	userField   = 11
+	systemField = 12
+)
+
+// Usage is what one process has used so far.
+type Usage struct {
+	CPU      time.Duration
+	RSSBytes uint64
+}
+
+// usageOf reads the usage of the process whose id is in a pid file.
+func usageOf(pidFile string) (Usage, error) {
+	body, err := os.ReadFile(pidFile)
+	if err != nil {
+		return Usage{}, err
+	}
+	dir := filepath.Join("/proc", strings.TrimSpace(string(body)))
+	stat, err := os.ReadFile(filepath.Join(dir, "stat"))
+	if err != nil {
+		return Usage{}, err
+	}
+	ticks, err := ticksOf(string(stat))
+	if err != nil {
+		return Usage{}, err
+	}
+	status, err := os.ReadFile(filepath.Join(dir, "status"))
+	if err != nil {
+		return Usage{}, err
+	}
+	return Usage{CPU: time.Duration(ticks) * clockTick, RSSBytes: residentBytes(string(status))}, nil
+}
+
+// ticksOf returns user and system time; the command's name may hold spaces.
+func ticksOf(stat string) (uint64, error) {
+	_, rest, found := strings.Cut(stat, ") ")
+	fields := strings.Fields(rest)
+	if !found || len(fields) <= systemField {
+		return 0, fmt.Errorf("bench: unreadable process state %q", stat)
+	}
+	user, errUser := strconv.ParseUint(fields[userField], 10, 64)
+	system, errSystem := strconv.ParseUint(fields[systemField], 10, 64)
+	if errUser != nil || errSystem != nil {
+		return 0, fmt.Errorf("bench: unreadable process state %q", stat)
+	}
+	return user + system, nil
+}
+
+func residentBytes(status string) uint64 {
+	for line := range strings.Lines(status) {
+		if value, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.ParseUint(strings.TrimSuffix(strings.TrimSpace(value), " kB"), 10, 64)
+			return kb << 10
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/bench/report.go
@@ -0,0 +1,200 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/load"
+	"citrontray.example/citrontray/internal/standin"
+)
+
+// Report is what a run measured.
+type Report struct {
+	Values []Value
+	load.Summary
+	// Broken describes the invariants that did not hold.
+	Broken []string
+}
+
+// Value is one measured figure.
+type Value struct {
+	Name   string
+	Number float64
+	Unit   string
+}
+
+// snapshot is the state of all counts at one time.
+type snapshot struct {
+	at       time.Time
+	platform standin.PlatformCounts
+	ledger   standin.LedgerCounts
+	served   map[key.Service][]uint64
+	usage    map[Part]map[string]Usage
+}
+
+func (r *Run) snapshot() snapshot {
+	s := snapshot{
+		at:       time.Now(),
+		platform: r.platform.Counts(),
+		ledger:   r.farm.Ledger.Counts(),
+		served:   r.farm.Served(),
+		usage:    map[Part]map[string]Usage{LeadPart: {}, EntryPart: {}},
+	}
+	for _, host := range r.Hosts {
+		for part, usage := range s.usage {
+			if u, err := usageOf(r.pidFile(host.Name, part)); err == nil {
+				usage[string(host.Name)] = u
+			}
+		}
+	}
+	return s
+}
+
+// report works out the figures between two snapshots.
+func (r *Run) report(before, after snapshot, summary load.Summary) Report {
+	span := after.at.Sub(before.at)
+	perSecond := func(n uint64) float64 { return float64(n) / span.Seconds() }
+	report := Report{Summary: summary}
+	add := func(name string, number float64, unit string) {
+		report.Values = append(report.Values, Value{Name: name, Number: number, Unit: unit})
+	}
+	add("requests", float64(summary.Requests), "1")
+	add("done", float64(summary.Done), "1")
+	add("done_s", summary.PerSecond, "1/s")
+	add("p50_ms", millis(summary.P50), "ms")
+	add("p99_ms", millis(summary.P99), "ms")
+	for _, class := range slices.Sorted(maps.Keys(summary.Classes)) {
+		add("p99_"+string(class)+"_ms", millis(summary.Classes[class].P99), "ms")
+	}
+	add("imbalance", imbalance(before.served, after.served), "ratio")
+	add("moves", float64(after.ledger.Moves-before.ledger.Moves), "1")
+	add("unavailable_sum_ms", millis(summary.OutageSum), "ms")
+	add("unavailable_max_ms", millis(summary.OutageMax), "ms")
+	add("unavailable_shards", float64(summary.OutageShards), "1")
+	add("not_run", float64(summary.NotRun), "1")
+	add("unknown", float64(summary.Unknown), "1")
+	add("doubled_owner", float64(after.ledger.DoubledOwner), "1")
+	add("doubled_run", float64(after.ledger.DoubledRun), "1")
+	add("lost_answer", float64(summary.Lost+summary.Unrun), "1")
+	add("wrong_answer", float64(summary.Wrong), "1")
+	add("false_not_run", float64(summary.FalseNotRun), "1")
+	add("sheds", float64(after.ledger.Sheds-before.ledger.Sheds), "1")
+	add("misrouted", float64(after.ledger.Misrouted-before.ledger.Misrouted), "1")
+	add("refused_connections", float64(after.ledger.Refused-before.ledger.Refused), "1")
+	add("dropped", float64(summary.Dropped), "1")
+	add("store_reads_s", perSecond(after.platform.Reads-before.platform.Reads), "1/s")
+	add("store_writes_s", perSecond(after.platform.Writes-before.platform.Writes), "1/s")
+	r.addUsage(add, before, after, span)
+	report.Broken = r.broken(after, summary)
+	return report
+}
+
+// addUsage adds the mean processor time and the largest memory of each part.
+// A process that started or ended in between is left out of the mean.
+func (r *Run) addUsage(add func(string, float64, string), before, after snapshot, span time.Duration) {
+	names := map[Part]string{LeadPart: "control", EntryPart: "entry"}
+	for _, part := range []Part{LeadPart, EntryPart} {
+		var cpu time.Duration
+		var rss uint64
+		n := 0
+		for host, then := range before.usage[part] {
+			now, ok := after.usage[part][host]
+			if ok && now.CPU >= then.CPU {
+				cpu += now.CPU - then.CPU
+				rss = max(rss, now.RSSBytes)
+				n++
+			}
+		}
+		if n == 0 {
+			continue
+		}
+		add(names[part]+"_cpu", 100*cpu.Seconds()/span.Seconds()/float64(n), "%")
+		if part == LeadPart {
+			add("rss_mb", float64(rss)/(1<<20), "MiB")
+		} else {
+			add("entry_rss_mb", float64(rss)/(1<<20), "MiB")
+		}
+	}
+}
+
+// broken lists the invariants that did not hold.
+func (r *Run) broken(after snapshot, s load.Summary) []string {
+	var out []string
+	check := func(n uint64, text string) {
+		if n > 0 {
+			out = append(out, fmt.Sprintf("%d %s", n, text))
+		}
+	}
+	check(after.ledger.DoubledOwner, "doubled owners")
+	check(after.ledger.DoubledRun, "doubled runs")
+	check(s.FalseNotRun, "answers said not-run of what ran")
+	check(s.Unrun, "answers said done of what did not run")
+	check(s.Lost, "requests without an answer")
+	check(s.Wrong, "answers cut or not the request's own")
+	if s.Done == 0 {
+		out = append(out, "nothing was done")
+	}
+	return append(out, r.farm.Ledger.Findings()...)
+}
+
+// imbalance is the busiest target's load over the mean, of the service where
+// that is highest.
+func imbalance(before, after map[key.Service][]uint64) float64 {
+	worst := 0.0
+	for service, counts := range after {
+		var sum, most uint64
+		for i, n := range counts {
+			served := n - before[service][i]
+			sum += served
+			most = max(most, served)
+		}
+		if sum > 0 {
+			worst = max(worst, float64(most)*float64(len(counts))/float64(sum))
+		}
+	}
+	return worst
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// Write prints the figures, one a line, then what was broken.
+func (r Report) Write(out io.Writer) {
+	for _, v := range r.Values {
+		fmt.Fprintf(out, "%s %s %s\n", v.Name, number(v.Number), v.Unit)
+	}
+	for _, reason := range slices.Sorted(maps.Keys(r.Reasons)) {
+		fmt.Fprintf(out, "reason_%s %d 1\n", reason, r.Reasons[reason])
+	}
+	for _, text := range r.Broken {
+		fmt.Fprintf(out, "broken: %s\n", text)
+	}
+	for _, text := range r.Examples {
+		fmt.Fprintf(out, "example: %s\n", text)
+	}
+}
+
+// number prints whole numbers without a point.
+func number(n float64) string {
+	if n == float64(int64(n)) {
+		return fmt.Sprintf("%d", int64(n))
+	}
+	return fmt.Sprintf("%.2f", n)
+}
+
+// DemoLine is the last line of the demo.
+func (r Report) DemoLine() string {
+	var doubled, lost uint64
+	for _, v := range r.Values {
+		switch v.Name {
+		case "doubled_owner", "doubled_run":
+			doubled += uint64(v.Number)
+		case "lost_answer":
+			lost += uint64(v.Number)
+		}
+	}
+	return fmt.Sprintf("demo: %d requests, %d doubled, %d lost, p99 %.1f ms", r.Requests, doubled, lost, millis(r.P99))
+}
--- /dev/null
+++ b/internal/bench/run.go
@@ -0,0 +1,226 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"path/filepath"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"citrontray.example/citrontray/internal/load"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/platform"
+	"citrontray.example/citrontray/internal/preset"
+	"citrontray.example/citrontray/internal/settings"
+	"citrontray.example/citrontray/internal/standin"
+)
+
+const (
+	// settleTime bounds the time until every shard has an owner and every
+	// host is ready; settlePoll is how often that is looked at.
+	settleTime = 15 * time.Second
+	settlePoll = 100 * time.Millisecond
+	// warmUp is load before the measurement.
+	warmUp = 2 * time.Second
+	// slowMin and slowMax bound the calls of a slow store.
+	slowMin = 2 * time.Second
+	slowMax = 10 * time.Second
+	// stopTime bounds the planned stop of the targets.
+	stopTime = 2 * time.Second
+)
+
+// Config is what a run needs.
+type Config struct {
+	Scenario Scenario
+	Preset   preset.Preset
+	Settings *settings.Settings
+	Hosts    []Host
+	// Platform is where the stand-in of the platform listens.
+	Platform netip.AddrPort
+	Director *Director
+	// Processes is the directory with the daemons' pid files, named
+	// <part>-<host>.pid.
+	Processes string
+	Seed      uint64
+	Log       *slog.Logger
+}
+
+// Run is one run of a scenario.
+type Run struct {
+	Config
+
+	platform *standin.Platform
+	farm     *standin.Farm
+	balancer *load.Balancer
+	plan     load.Plan
+	measured *load.Generator
+	led      place.Host // the host that KillLead and PauseLead chose
+}
+
+// New returns a run.
+func New(config Config) *Run {
+	r := &Run{Config: config, platform: standin.NewPlatform()}
+	r.farm = standin.NewFarm(load.Groups(config.Preset, config.Settings), config.Preset.Zones)
+	r.balancer = load.NewBalancer(entryHosts(config.Hosts))
+	r.plan = load.NewPlan(config.Preset, config.Settings, config.Scenario.Load)
+	r.plan.Hot = config.Scenario.Hot
+	return r
+}
+
+// Execute makes the run and returns its report.
+func (r *Run) Execute(ctx context.Context) (Report, error) {
+	listener, err := net.Listen("tcp", r.Platform.String())
+	if err != nil {
+		return Report{}, fmt.Errorf("bench: listen for the platform's stand-in: %w", err)
+	}
+	server := &http.Server{Handler: platform.NewHandler(r.platform), ReadHeaderTimeout: time.Minute}
+	defer server.Close() //nolint:errcheck // the run is over
+	if err := r.farm.Start(); err != nil {
+		return Report{}, err
+	}
+	r.register(time.Now())
+	group, ctx := errgroup.WithContext(ctx)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group.Go(func() error { return serve(server, listener) })
+	group.Go(func() error { return r.balancer.Run(ctx) })
+	var report Report
+	group.Go(func() error {
+		defer server.Close() //nolint:errcheck // ends the group
+		defer cancel()
+		report, err = r.direct(ctx)
+		return err
+	})
+	return report, group.Wait()
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// register fills the platform's list without its lag.
+func (r *Run) register(now time.Time) {
+	r.platform.SetFleetLag(0)
+	r.farm.Register(now, r.platform)
+	for _, host := range r.Hosts {
+		r.platform.SetHost(now, host.row(place.Live))
+	}
+	r.platform.SetFleetLag(time.Second)
+}
+
+// direct starts the daemons, loads them, steps through the scenario and
+// stops them.
+func (r *Run) direct(ctx context.Context) (Report, error) {
+	if err := r.Director.Started(); err != nil {
+		return Report{}, err
+	}
+	if err := r.settle(ctx); err != nil {
+		return Report{}, errors.Join(err, r.Director.Ended())
+	}
+	if err := r.warm(ctx); err != nil {
+		return Report{}, err
+	}
+	report, err := r.measure(ctx)
+	if err != nil {
+		return Report{}, err
+	}
+	if err := r.Director.Ended(); err != nil {
+		report.Broken = append(report.Broken, err.Error())
+	}
+	stop, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	r.farm.Stop(stop)
+	return report, nil
+}
+
+// settle waits until every shard has an owner and every host is ready.
+func (r *Run) settle(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	ticker := time.NewTicker(settlePoll)
+	defer ticker.Stop()
+	for {
+		owned, shards := r.owned(time.Now())
+		ready := r.balancer.Refresh(ctx)
+		if owned == shards && ready == len(r.Hosts) {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("bench: not settled after %s: %d of %d shards owned, %d of %d hosts ready",
+				settleTime, owned, shards, ready, len(r.Hosts))
+		}
+	}
+}
+
+// owned returns how many shards have an owner, and how many there are.
+func (r *Run) owned(now time.Time) (owned, shards int) {
+	for service, count := range r.plan.Shards {
+		owned += min(r.farm.Ledger.Owned(now, service), int(count))
+		shards += int(count)
+	}
+	return owned, shards
+}
+
+// warm loads the deployment without measuring.
+func (r *Run) warm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, warmUp)
+	defer cancel()
+	return load.NewGenerator(r.plan, r.balancer, "w", r.Seed+1).Run(ctx)
+}
+
+// measure loads the deployment and steps through the scenario.
+func (r *Run) measure(ctx context.Context) (Report, error) {
+	r.measured = load.NewGenerator(r.plan, r.balancer, "m", r.Seed)
+	before := r.snapshot()
+	loaded, cancel := context.WithTimeout(ctx, r.Scenario.Length)
+	defer cancel()
+	group, loaded := errgroup.WithContext(loaded)
+	group.Go(func() error { return r.measured.Run(loaded) })
+	group.Go(func() error { return r.steps(loaded) })
+	if err := group.Wait(); err != nil {
+		return Report{}, err
+	}
+	after := r.snapshot()
+	summary, err := r.measured.Result().Summarize(time.Now(), func(operations []string) ([]uint32, error) {
+		return r.farm.Ledger.RunsOf(operations), nil
+	})
+	if err != nil {
+		return Report{}, err
+	}
+	return r.report(before, after, summary), nil
+}
+
+// steps takes the steps at their times.
+func (r *Run) steps(ctx context.Context) error {
+	start := time.Now()
+	for _, step := range r.Scenario.Steps {
+		timer := time.NewTimer(time.Until(start.Add(step.At)))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return fmt.Errorf("bench: no time left for %T at %s", step.Action, step.At)
+		}
+		r.Log.Info("step", "at", step.At, "action", fmt.Sprintf("%T%v", step.Action, step.Action))
+		if err := r.act(step.Action); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// pidFile returns the file with the id of a process.
+func (r *Run) pidFile(host place.Host, part Part) string {
+	return filepath.Join(r.Processes, fmt.Sprintf("%s-%s.pid", part, host))
+}
--- /dev/null
+++ b/internal/bench/scenario.go
@@ -0,0 +1,246 @@
+// Package bench runs scenarios: a deployment of real processes under load,
+// with faults at fixed times, measured by what callers and targets saw.
+package bench
+
+import (
+	"slices"
+	"time"
+
+	"citrontray.example/citrontray/internal/load"
+)
+
+// Name names a scenario.
+type Name string
+
+// Scenario is one run: the load goes on for Length, steps happen on the way.
+type Scenario struct {
+	Name   Name
+	About  string
+	Length time.Duration
+	// Load is the part of the targets' capacity that the load takes.
+	Load  float64
+	Hot   load.HotSet
+	Steps []Step
+}
+
+// Step is one action at a time after the start of the measurement.
+type Step struct {
+	At     time.Duration
+	Action Action
+}
+
+// Action is what happens in a step.
+type Action interface{ action() }
+
+// KillTarget ends the process of a target, by its number in the deployment.
+type KillTarget struct{ Target int }
+
+// RestartTarget starts a killed target again at the same address.
+type RestartTarget struct{ Target int }
+
+// FreezeTarget pauses a target.
+type FreezeTarget struct{ Target int }
+
+// ThawTarget lets a frozen target go on as if nothing had happened.
+type ThawTarget struct{ Target int }
+
+// KillLead ends the lead process of the first target's cell without warning.
+type KillLead struct{}
+
+// StartLead starts a killed lead process again.
+type StartLead struct{}
+
+// PauseLead stops the lead process of the first target's cell.
+type PauseLead struct{}
+
+// ResumeLead lets a paused lead process go on.
+type ResumeLead struct{}
+
+// StoreDown takes the platform's service away.
+type StoreDown struct{}
+
+// StoreSlow makes each call of the platform's service take 2 to 10 s.
+type StoreSlow struct{}
+
+// StoreUp ends all faults of the platform's service.
+type StoreUp struct{}
+
+// CutZone cuts one zone, by its number, off from the platform.
+type CutZone struct{ Zone int }
+
+// JoinZone ends a CutZone.
+type JoinZone struct{}
+
+// ReplaceHost stops both processes of a host, by its number, as planned, and
+// starts new ones.
+type ReplaceHost struct{ Host int }
+
+// DrainTarget has an operator drain a target.
+type DrainTarget struct{ Target int }
+
+// SetLoad changes the part of the capacity that the load takes.
+type SetLoad struct{ Load float64 }
+
+// SetHot changes the hot keys.
+type SetHot struct{ Hot load.HotSet }
+
+// RaceSettings has ten operators write the same settings at once.
+type RaceSettings struct{}
+
+func (KillTarget) action()    {}
+func (RestartTarget) action() {}
+func (FreezeTarget) action()  {}
+func (ThawTarget) action()    {}
+func (KillLead) action()      {}
+func (StartLead) action()     {}
+func (PauseLead) action()     {}
+func (ResumeLead) action()    {}
+func (StoreDown) action()     {}
+func (StoreSlow) action()     {}
+func (StoreUp) action()       {}
+func (CutZone) action()       {}
+func (JoinZone) action()      {}
+func (ReplaceHost) action()   {}
+func (DrainTarget) action()   {}
+func (SetLoad) action()       {}
+func (SetHot) action()        {}
+func (RaceSettings) action()  {}
+
+// baseLoad is the part of the capacity that most scenarios load.
+const baseLoad = 0.25
+
+// hotCount is how many keys are hot at a time, hotShare what they take.
+const (
+	hotCount = 74
+	hotShare = 0.5
+)
+
+// hotSet returns the n-th hot set; no two have a key in common.
+func hotSet(n int) load.HotSet {
+	return load.HotSet{First: n * hotCount, Count: hotCount, Share: hotShare}
+}
+
+// All lists the scenarios.
+func All() []Scenario {
+	return slices.Concat(targetScenarios(), leadScenarios(), storeScenarios(), loadScenarios())
+}
+
+// Find returns a scenario by name.
+func Find(name Name) (Scenario, bool) {
+	for _, s := range All() {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Scenario{}, false
+}
+
+func targetScenarios() []Scenario {
+	return []Scenario{
+		{
+			Name: "demo", About: "a mixed load; one target is stopped half way",
+			Length: 8 * time.Second, Load: 0.1,
+			Steps: []Step{{4 * time.Second, KillTarget{0}}},
+		},
+		{
+			Name: "steady", About: "an even load, no faults",
+			Length: 15 * time.Second, Load: baseLoad,
+		},
+		{
+			Name: "targetloss", About: "one target is killed and comes back 10 s later",
+			Length: 20 * time.Second, Load: baseLoad,
+			Steps: []Step{{4 * time.Second, KillTarget{0}}, {14 * time.Second, RestartTarget{0}}},
+		},
+		{
+			Name: "targetfreeze", About: "one target is frozen for 10 s and goes on as if nothing had happened",
+			Length: 20 * time.Second, Load: baseLoad,
+			Steps: []Step{{4 * time.Second, FreezeTarget{0}}, {14 * time.Second, ThawTarget{0}}},
+		},
+		{
+			Name: "drain", About: "an operator drains one target",
+			Length: 15 * time.Second, Load: baseLoad,
+			Steps: []Step{{4 * time.Second, DrainTarget{0}}},
+		},
+	}
+}
+
+func leadScenarios() []Scenario {
+	return []Scenario{
+		{
+			Name: "leadloss", About: "the lead process of a cell is killed and comes back 10 s later",
+			Length: 20 * time.Second, Load: baseLoad,
+			Steps: []Step{{4 * time.Second, KillLead{}}, {14 * time.Second, StartLead{}}},
+		},
+		{
+			Name: "leadpause", About: "the lead process of a cell is paused for 6 s",
+			Length: 18 * time.Second, Load: baseLoad,
+			Steps: []Step{{4 * time.Second, PauseLead{}}, {10 * time.Second, ResumeLead{}}},
+		},
+		{
+			Name: "rolling", About: "the entry hosts are replaced one by one",
+			Length: 30 * time.Second, Load: baseLoad,
+			Steps: rolling(9, 3*time.Second),
+		},
+	}
+}
+
+func rolling(hosts int, every time.Duration) []Step {
+	steps := make([]Step, hosts)
+	for i := range steps {
+		steps[i] = Step{time.Duration(i+1) * every, ReplaceHost{i}}
+	}
+	return steps
+}
+
+func storeScenarios() []Scenario {
+	return []Scenario{
+		{
+			Name: "storeout", About: "the platform's service is out for 12 s",
+			Length: 22 * time.Second, Load: baseLoad,
+			Steps: []Step{{4 * time.Second, StoreDown{}}, {16 * time.Second, StoreUp{}}},
+		},
+		{
+			Name: "storeouttargetloss", About: "a target is killed while the platform's service is out",
+			Length: 25 * time.Second, Load: baseLoad,
+			Steps: []Step{
+				{4 * time.Second, StoreDown{}},
+				{8 * time.Second, KillTarget{0}},
+				{20 * time.Second, StoreUp{}},
+			},
+		},
+		{
+			Name: "storeslow", About: "each call of the platform's service takes 2 to 10 s, for 14 s",
+			Length: 22 * time.Second, Load: baseLoad,
+			Steps: []Step{{4 * time.Second, StoreSlow{}}, {18 * time.Second, StoreUp{}}},
+		},
+		{
+			Name: "zonecut", About: "one zone is cut off from the platform for 12 s",
+			Length: 22 * time.Second, Load: baseLoad,
+			Steps: []Step{{4 * time.Second, CutZone{2}}, {16 * time.Second, JoinZone{}}},
+		},
+		{
+			Name: "settingsrace", About: "ten operators write the same settings at once",
+			Length: 15 * time.Second, Load: baseLoad,
+			Steps: []Step{{5 * time.Second, RaceSettings{}}},
+		},
+	}
+}
+
+func loadScenarios() []Scenario {
+	return []Scenario{
+		{
+			Name: "overload", About: "the load is 1.5 times the capacity for 10 s",
+			Length: 20 * time.Second, Load: baseLoad,
+			Steps: []Step{{5 * time.Second, SetLoad{1.5}}, {15 * time.Second, SetLoad{baseLoad}}},
+		},
+		{
+			Name: "hotkeys", About: "74 keys take half of the load; they change every 8 s",
+			Length: 32 * time.Second, Load: baseLoad, Hot: hotSet(0),
+			Steps: []Step{
+				{8 * time.Second, SetHot{hotSet(1)}},
+				{16 * time.Second, SetHot{hotSet(2)}},
+				{24 * time.Second, SetHot{hotSet(3)}},
+			},
+		},
+	}
+}
--- /dev/null
+++ b/internal/lab/preset.go
@@ -0,0 +1,134 @@
+package lab
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"strconv"
+
+	"github.com/google/subcommands"
+
+	"citrontray.example/citrontray/internal/bench"
+	"citrontray.example/citrontray/internal/finding"
+	"citrontray.example/citrontray/internal/preset"
+)
+
+// maxPorts bounds the free ports that one call finds.
+const maxPorts = 1000
+
+// presetCommand prints the settings file of a preset.
+type presetCommand struct{ name string }
+
+// Name implements subcommands.Command.
+func (*presetCommand) Name() string { return "preset" }
+
+// Synopsis implements subcommands.Command.
+func (*presetCommand) Synopsis() string { return "print the settings file of a preset" }
+
+// Usage implements subcommands.Command.
+func (*presetCommand) Usage() string { return "preset --name agency|consortium\n" }
+
+// SetFlags implements subcommands.Command.
+func (c *presetCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.name, "name", string(preset.Agency), "name of the preset")
+}
+
+// Execute implements subcommands.Command.
+func (c *presetCommand) Execute(_ context.Context, _ *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	o := outputOf(args)
+	p, err := getPreset(c.name)
+	if err != nil {
+		return o.exit(err)
+	}
+	_, err = o.out.Write(p.File)
+	return o.exit(err)
+}
+
+// getPreset returns a preset, or a finding.
+func getPreset(name string) (preset.Preset, error) {
+	p, err := preset.Get(preset.Name(name))
+	if err != nil {
+		var findings finding.List
+		findings.Add("--preset", err.Error(), "see citrontray-lab preset --help")
+		return p, findings.Err()
+	}
+	return p, nil
+}
+
+// portsCommand prints free ports.
+type portsCommand struct{ count int }
+
+// Name implements subcommands.Command.
+func (*portsCommand) Name() string { return "ports" }
+
+// Synopsis implements subcommands.Command.
+func (*portsCommand) Synopsis() string {
+	return "print ports that are free on loopback for TCP and UDP"
+}
+
+// Usage implements subcommands.Command.
+func (*portsCommand) Usage() string { return "ports --count N\n" }
+
+// SetFlags implements subcommands.Command.
+func (c *portsCommand) SetFlags(f *flag.FlagSet) {
+	f.IntVar(&c.count, "count", 1, "number of ports")
+}
+
+// Execute implements subcommands.Command.
+func (c *portsCommand) Execute(_ context.Context, _ *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	o := outputOf(args)
+	ports, err := freePorts(min(c.count, maxPorts))
+	if err != nil {
+		return o.exit(err)
+	}
+	for _, port := range ports {
+		fmt.Fprintln(o.out, port)
+	}
+	return o.exit(nil)
+}
+
+// freePorts finds ports that are free for TCP and UDP. All are held until the
+// last one is found, so that none comes twice.
+func freePorts(count int) ([]int, error) {
+	var ports []int
+	for len(ports) < count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close() //nolint:errcheck // only held
+		port := listener.Addr().(*net.TCPAddr).Port
+		packets, err := net.ListenPacket("udp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+		if err != nil {
+			continue
+		}
+		defer packets.Close() //nolint:errcheck // only held
+		ports = append(ports, port)
+	}
+	return ports, nil
+}
+
+// scenariosCommand lists the scenarios of the bench.
+type scenariosCommand struct{}
+
+// Name implements subcommands.Command.
+func (*scenariosCommand) Name() string { return "scenarios" }
+
+// Synopsis implements subcommands.Command.
+func (*scenariosCommand) Synopsis() string { return "list the scenarios of the bench" }
+
+// Usage implements subcommands.Command.
+func (*scenariosCommand) Usage() string { return "scenarios\n" }
+
+// SetFlags implements subcommands.Command.
+func (*scenariosCommand) SetFlags(*flag.FlagSet) {}
+
+// Execute implements subcommands.Command.
+func (*scenariosCommand) Execute(_ context.Context, _ *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	o := outputOf(args)
+	for _, s := range bench.All() {
+		fmt.Fprintf(o.out, "%-20s %s\n", s.Name, s.About)
+	}
+	return o.exit(nil)
+}
--- /dev/null
+++ b/scripts/cluster.sh
@@ -0,0 +1,132 @@
+#!/usr/bin/env bash
+# Functions that start and stop the daemons of a deployment on loopback. A
+# process of the system starts no other, so scripts do. Sourced by bench.sh.
+#
+# Needs: BIN (binaries), RUN (directory of this run), PRESET, HOSTS (number).
+
+ZONES_agency="anadolu-a anadolu-b anadolu-c"
+ZONES_consortium="ng-southwest-a ng-southwest-b ng-southwest-c"
+REGION_agency="anadolu"
+REGION_consortium="ng-southwest"
+
+# STOP_SECONDS bounds the planned stop of one process.
+STOP_SECONDS=20
+
+# plan_hosts writes RUN/hosts: name, zone and five addresses a line, and
+# chooses the platform's address.
+plan_hosts() {
+  local zones region=REGION_$PRESET zoneset=ZONES_$PRESET ports i at=1
+  read -r -a zones <<<"${!zoneset}"
+  REGION=${!region}
+  mapfile -t ports < <("$BIN/citrontray-lab" ports --count $((1 + 5 * HOSTS)))
+  PLATFORM=127.0.0.1:${ports[0]}
+  : >"$RUN/hosts"
+  for ((i = 0; i < HOSTS; i++)); do
+    local line="host-$((i + 1)) ${zones[i % 3]}" j
+    for ((j = 0; j < 5; j++)); do
+      line+=" 127.0.0.1:${ports[at]}"
+      at=$((at + 1))
+    done
+    echo "$line" >>"$RUN/hosts"
+  done
+  SEEDS=$(awk '{print $3}' "$RUN/hosts" | head -6 | paste -sd,)
+}
+
+# make_keys makes an authority of this run and a certificate for each process.
+make_keys() {
+  local host zone
+  "$BIN/citrontray" keys authority --dir "$RUN/keys" || return 1
+  while read -r host zone _; do
+    "$BIN/citrontray" keys host --dir "$RUN/keys" --host "$host" --zone "$zone" --ips 127.0.0.1 || return 1
+  done <"$RUN/hosts"
+}
+
+# start PART HOST starts one daemon and keeps its process id.
+start() {
+  local part=$1 host zone lead_peer entry_peer callers entry_admin lead_admin
+  read -r host zone lead_peer entry_peer callers entry_admin lead_admin < <(grep "^$2 " "$RUN/hosts")
+  local common=(--host "$host" --zone "$zone" --region "$REGION" --platform "$PLATFORM" --peers "$SEEDS" --keys "$RUN/keys")
+  case $part in
+    lead)
+      "$BIN/citrontray-lead" "${common[@]}" --peer-address "$lead_peer" --admin-address "$lead_admin" \
+        2>>"$RUN/lead-$host.log" 3>&- 4>&- &
+      ;;
+    entry)
+      "$BIN/citrontray-entry" "${common[@]}" --peer-address "$entry_peer" --lead "$lead_peer" \
+        --http-address "$callers" --admin-address "$entry_admin" \
+        2>>"$RUN/entry-$host.log" 3>&- 4>&- &
+      ;;
+  esac
+  echo $! >"$RUN/processes/$part-$host.pid"
+}
+
+start_all() {
+  local part host
+  for part in lead entry; do
+    while read -r host _; do start $part "$host"; done <"$RUN/hosts"
+  done
+}
+
+pid_of() { cat "$RUN/processes/$1-$2.pid" 2>/dev/null; }
+
+# send SIGNAL PART HOST sends a signal to one daemon.
+send() {
+  local pid
+  pid=$(pid_of "$2" "$3") && kill -"$1" "$pid"
+  if [ "$1" = KILL ]; then
+    wait "$pid" 2>/dev/null
+    rm -f "$RUN/processes/$2-$3.pid"
+  fi
+}
+
+# finish PID waits for a process that was told to stop; past the bound it is
+# killed, which is a failure.
+finish() {
+  local i
+  for ((i = 0; i < STOP_SECONDS * 20; i++)); do
+    kill -0 "$1" 2>/dev/null || break
+    sleep 0.05
+  done
+  if kill -0 "$1" 2>/dev/null; then
+    echo "process $1 did not stop within $STOP_SECONDS s" >&2
+    kill -KILL "$1"
+    wait "$1" 2>/dev/null
+    return 1
+  fi
+  wait "$1"
+}
+
+# stop PART HOST stops one daemon as planned; it fails where the daemon does
+# not end by itself with exit code 0.
+stop() {
+  local pid status=0
+  pid=$(pid_of "$1" "$2") || return 0
+  kill -TERM "$pid" 2>/dev/null
+  finish "$pid" || status=$?
+  [ $status -eq 0 ] || echo "$1 of $2 ended with $status" >&2
+  rm -f "$RUN/processes/$1-$2.pid"
+  return $status
+}
+
+# stop_all stops the entries first, all at once, then the leads.
+stop_all() {
+  local part host file pid status=0
+  for part in entry lead; do
+    for file in "$RUN/processes/$part"-*.pid; do
+      [ -e "$file" ] && kill -TERM "$(cat "$file")" 2>/dev/null
+    done
+    while read -r host _; do
+      pid=$(pid_of $part "$host") || continue
+      stop $part "$host" || status=1
+    done <"$RUN/hosts"
+  done
+  return $status
+}
+
+# kill_all ends what is left of this run, by the process ids it kept.
+kill_all() {
+  local file
+  for file in "$RUN"/processes/*.pid; do
+    [ -e "$file" ] && kill -KILL "$(cat "$file")" 2>/dev/null
+  done
+}
