Documents spread between hosts by version, with two store watchers a zone

A process polls the watchers of its zone, watchers poll those of other zones, entries poll the lead of their own host; what a lead publishes is pushed to its zone's watchers. Only newer versions travel, large ones as deltas. Silent watchers are stood in for by the next by rendezvous.

Past two hosts a zone they do not grow.

--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -6,12 +6,10 @@
 import (
 	_ "github.com/HdrHistogram/hdrhistogram-go"
 	_ "github.com/anishathalye/porcupine"
-	_ "github.com/fxamacker/cbor/v2"
 	_ "github.com/goccy/go-yaml"
 	_ "github.com/google/subcommands"
 	_ "github.com/google/uuid"
 	_ "github.com/gorilla/mux"
-	_ "github.com/klauspost/compress/zstd"
 	_ "github.com/oklog/run"
 	_ "github.com/rogpeppe/go-internal/testscript"
 	_ "github.com/samber/oops"
--- /dev/null
+++ b/internal/spread/follow.go
@@ -0,0 +1,238 @@
+package spread
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"citrontray.example/citrontray/internal/peer"
+)
+
+const (
+	// leadWait is how long a poll between leads waits for news.
+	leadWait = 4 * time.Second
+	// entryWait is shorter: an entry follows one process alone and has to
+	// notice its loss.
+	entryWait = time.Second
+	// answerMargin is the time on top of the wait.
+	answerMargin = 500 * time.Millisecond
+	fetchTimeout = 2 * time.Second
+	// pollInterval is the least time between two polls of one process.
+	pollInterval   = 20 * time.Millisecond
+	firstRetryWait = 50 * time.Millisecond
+	maxRetryWait   = time.Second
+)
+
+// follower hears documents from one process.
+type follower struct {
+	node     *Node
+	addr     netip.AddrPort
+	board    instance
+	cursor   cursor
+	failures int
+}
+
+// loop polls until ctx ends.
+func (f *follower) loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		sent := time.Now()
+		if err := f.step(ctx); err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			f.node.failed(sent, f.addr)
+			f.node.log.Debug("poll failed", slog.String("addr", f.addr.String()), slog.Any("error", err))
+			sleep(ctx, retryWait(f.failures))
+			f.failures++
+			continue
+		}
+		f.failures = 0
+		f.node.succeeded(f.addr)
+		sleep(ctx, pollInterval-time.Since(sent))
+	}
+}
+
+// retryWait returns the time before the next attempt at a process.
+func retryWait(failures int) time.Duration {
+	const maxDoublings = 8
+	full := min(firstRetryWait<<min(failures, maxDoublings), maxRetryWait)
+	return full/2 + rand.N(full/2)
+}
+
+func (f *follower) wait() time.Duration {
+	if f.node.cfg.Self.Role == peer.RoleEntry {
+		return entryWait
+	}
+	return leadWait
+}
+
+// step polls once and takes what is newer. The cursor moves only once all of
+// it has arrived.
+func (f *follower) step(ctx context.Context) error {
+	answer, err := f.poll(ctx)
+	if err != nil {
+		return err
+	}
+	for _, p := range answer.small {
+		if err := f.node.take(p); err != nil {
+			return err
+		}
+	}
+	complete, err := f.fetch(ctx, answer.newer)
+	if err != nil || !complete {
+		return err
+	}
+	f.board, f.cursor = answer.board, answer.cursor
+	return nil
+}
+
+func (f *follower) poll(ctx context.Context) (pollAnswer, error) {
+	q := poll{board: f.board, cursor: f.cursor, wait: f.wait()}
+	if f.board == 0 {
+		q.known = f.node.known()
+	}
+	body, err := f.node.call(ctx, f.addr, q, q.wait+answerMargin)
+	if err != nil {
+		return pollAnswer{}, err
+	}
+	return decodePollAnswer(body)
+}
+
+// known returns the headers of all that the board has.
+func (n *Node) known() []header {
+	docs := n.board.List("")
+	out := make([]header, len(docs))
+	for i, doc := range docs {
+		out[i] = header{name: doc.Name, version: doc.Version}
+	}
+	return out
+}
+
+// fetch gets the documents that are newer than the board's, but those that
+// another follower of this node gets already; for these it waits. It reports
+// whether all of them came.
+func (f *follower) fetch(ctx context.Context, newer []header) (bool, error) {
+	var mine []header
+	var others []<-chan struct{}
+	for _, h := range newer {
+		if !f.node.board.version(h.name).Less(h.version) {
+			continue
+		}
+		running, started := f.node.fetching.start(h)
+		if started {
+			mine = append(mine, h)
+			continue
+		}
+		others = append(others, running)
+	}
+	complete, err := f.fetchMine(ctx, mine)
+	f.node.fetching.end(mine)
+	if err != nil {
+		return false, err
+	}
+	for _, running := range others {
+		select {
+		case <-running:
+		case <-ctx.Done():
+			return false, ctx.Err()
+		}
+	}
+	// The next poll tells whether the others' fetches went well.
+	return complete && len(others) == 0, nil
+}
+
+func (f *follower) fetchMine(ctx context.Context, headers []header) (bool, error) {
+	if len(headers) == 0 {
+		return true, nil
+	}
+	var q fetch
+	for _, h := range headers {
+		q.wanted = append(q.wanted, header{name: h.name, version: f.node.board.version(h.name)})
+	}
+	came, again, err := f.fetchOnce(ctx, q)
+	if err != nil || len(again.wanted) == 0 {
+		return came == len(headers), err
+	}
+	cameWhole, _, err := f.fetchOnce(ctx, again)
+	return came+cameWhole == len(headers), err
+}
+
+// fetchOnce returns how many documents came and what has to come again, whole.
+func (f *follower) fetchOnce(ctx context.Context, q fetch) (int, fetch, error) {
+	var again fetch
+	body, err := f.node.call(ctx, f.addr, q, fetchTimeout)
+	if err != nil {
+		return 0, again, err
+	}
+	answer, err := decodeParcelAnswer(body)
+	if err != nil {
+		return 0, again, err
+	}
+	came := 0
+	for _, p := range answer.parcels {
+		err := f.node.take(p)
+		switch {
+		case errors.Is(err, errBase):
+			again.wanted = append(again.wanted, header{name: p.name})
+		case err != nil:
+			return came, again, err
+		default:
+			came++
+		}
+	}
+	return came, again, nil
+}
+
+// take opens a parcel and offers its document to the board.
+func (n *Node) take(p parcel) error {
+	if !n.board.version(p.name).Less(p.version) {
+		return nil
+	}
+	doc, err := n.board.open(p)
+	if err != nil {
+		return err
+	}
+	n.board.offer(doc, originPeer)
+	return nil
+}
+
+func (n *Node) call(ctx context.Context, to netip.AddrPort, q question, timeout time.Duration) ([]byte, error) {
+	body, err := encodeQuestion(q)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return n.link.Call(ctx, to, peer.KindSpread, body)
+}
+
+// flight holds the documents that are being fetched now, so that two
+// followers of one node don't both fetch the same version.
+type flight struct {
+	mu      sync.Mutex
+	running map[header]chan struct{}
+}
+
+// start enters a fetch; where one runs already it returns its end.
+func (f *flight) start(h header) (<-chan struct{}, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if running, ok := f.running[h]; ok {
+		return running, false
+	}
+	f.running[h] = make(chan struct{})
+	return nil, true
+}
+
+func (f *flight) end(headers []header) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range headers {
+		close(f.running[h])
+		delete(f.running, h)
+	}
+}
--- /dev/null
+++ b/internal/spread/network_test.go
@@ -0,0 +1,261 @@
+package spread_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"citrontray.example/citrontray/internal/peer"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/platform"
+	"citrontray.example/citrontray/internal/settings"
+	"citrontray.example/citrontray/internal/spread"
+)
+
+// network connects the nodes of a test in memory, with cuts.
+type network struct {
+	mu    sync.Mutex
+	links map[netip.AddrPort]*wire
+	cut   func(from, to netip.AddrPort) bool
+	calls int
+	bytes int
+}
+
+// wire is one process's peer.Link.
+type wire struct {
+	net      *network
+	self     peer.Identity
+	addr     netip.AddrPort
+	mu       sync.Mutex
+	handlers map[peer.Kind]peer.Handler
+}
+
+const hop = time.Millisecond
+
+func newNetwork() *network {
+	return &network{links: make(map[netip.AddrPort]*wire), cut: func(_, _ netip.AddrPort) bool { return false }}
+}
+
+func (n *network) link(self peer.Identity, addr netip.AddrPort) *wire {
+	w := &wire{net: n, self: self, addr: addr, handlers: make(map[peer.Kind]peer.Handler)}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links[addr] = w
+	return w
+}
+
+func (n *network) setCut(cut func(from, to netip.AddrPort) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = cut
+}
+
+func (n *network) remove(addr netip.AddrPort) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.links, addr)
+}
+
+func (n *network) find(from, to netip.AddrPort, size int) *wire {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.calls++
+	n.bytes += size
+	if n.cut(from, to) {
+		return nil
+	}
+	return n.links[to]
+}
+
+func (w *wire) Handle(kind peer.Kind, handler peer.Handler) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.handlers[kind] = handler
+}
+
+func (w *wire) Call(ctx context.Context, to netip.AddrPort, kind peer.Kind, body []byte) ([]byte, error) {
+	time.Sleep(hop)
+	other := w.net.find(w.addr, to, len(body))
+	if other == nil {
+		<-ctx.Done()
+		return nil, peer.ErrUnreachable
+	}
+	other.mu.Lock()
+	handler := other.handlers[kind]
+	other.mu.Unlock()
+	if handler == nil {
+		return nil, peer.ErrRefused
+	}
+	answer, err := handler(ctx, w.self, body)
+	time.Sleep(hop)
+	if w.net.find(w.addr, to, len(answer)) == nil {
+		<-ctx.Done()
+		return nil, peer.ErrLost
+	}
+	return answer, err
+}
+
+// store is a stand-in of the platform's service that counts calls.
+type store struct {
+	platform.Store
+
+	mu       sync.Mutex
+	revision platform.Revision
+	value    []byte
+	changed  chan struct{}
+	fleet    platform.Fleet
+	down     func() bool
+	calls    int
+}
+
+func newStore() *store {
+	return &store{changed: make(chan struct{}), down: func() bool { return false }}
+}
+
+func (s *store) set(value string) platform.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.value = []byte(value)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.revision
+}
+
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = func() bool { return down }
+}
+
+func (s *store) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *store) enter() error {
+	s.calls++
+	if s.down() {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (s *store) List(context.Context, platform.Path) ([]platform.Entry, platform.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.enter(); err != nil {
+		return nil, 0, err
+	}
+	if s.revision == 0 {
+		return nil, 0, nil
+	}
+	return []platform.Entry{s.entry()}, s.revision, nil
+}
+
+func (s *store) entry() platform.Entry {
+	return platform.Entry{Path: settings.StorePath, Value: s.value, Revision: s.revision}
+}
+
+func (s *store) Watch(ctx context.Context, _ platform.Path, from platform.Revision) ([]platform.Change, platform.Revision, error) {
+	s.mu.Lock()
+	err, changed := s.enter(), s.changed
+	if err != nil || s.revision > from {
+		defer s.mu.Unlock()
+		return []platform.Change{{Entry: s.entry()}}, s.revision, err
+	}
+	s.mu.Unlock()
+	const wait = 30 * time.Second
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	select {
+	case <-changed:
+	case <-ctx.Done():
+		return nil, from, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return []platform.Change{{Entry: s.entry()}}, s.revision, nil
+}
+
+func (s *store) Fleet(context.Context) (platform.Fleet, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet, s.enter()
+}
+
+// deployment is a set of hosts with a lead and an entry process each.
+type deployment struct {
+	net   *network
+	store *store
+	hosts []place.HostRow
+	ctx   context.Context
+	stops map[place.Host]context.CancelFunc
+	leads map[place.Host]*spread.Memory
+	entry map[place.Host]*spread.Memory
+}
+
+func zoneOf(i, zones int) place.Zone { return place.Zone(fmt.Sprintf("zone-%c", 'a'+i%zones)) }
+
+func newDeployment(ctx context.Context, hosts, zones int) *deployment {
+	d := &deployment{
+		net: newNetwork(), store: newStore(), ctx: ctx,
+		stops: make(map[place.Host]context.CancelFunc),
+		leads: make(map[place.Host]*spread.Memory),
+		entry: make(map[place.Host]*spread.Memory),
+	}
+	for i := range hosts {
+		addr := netip.AddrFrom4([4]byte{10, byte(i % zones), byte(i >> 8), byte(i)})
+		d.hosts = append(d.hosts, place.HostRow{
+			Host: place.Host(fmt.Sprintf("host-%02d", i)), Zone: zoneOf(i, zones),
+			Lead: netip.AddrPortFrom(addr, 1), Entry: netip.AddrPortFrom(addr, 2),
+		})
+	}
+	d.store.fleet.Hosts = d.hosts
+	return d
+}
+
+func (d *deployment) startAll() {
+	for _, row := range d.hosts {
+		d.start(row)
+	}
+}
+
+// start starts a host's processes, with nothing on their boards.
+func (d *deployment) start(row place.HostRow) {
+	ctx, cancel := context.WithCancel(d.ctx)
+	d.stops[row.Host] = cancel
+	seeds := []netip.AddrPort{d.hosts[0].Lead, d.hosts[1].Lead, d.hosts[2].Lead}
+	lead := peer.Identity{Host: row.Host, Zone: row.Zone, Role: peer.RoleLead}
+	entry := peer.Identity{Host: row.Host, Zone: row.Zone, Role: peer.RoleEntry}
+	d.leads[row.Host], d.entry[row.Host] = spread.New(), spread.New()
+	leadNode := spread.NewNode(d.leads[row.Host], d.net.link(lead, row.Lead), spread.Config{Self: lead, Addr: row.Lead, Seeds: seeds, Store: d.store})
+	entryNode := spread.NewNode(d.entry[row.Host], d.net.link(entry, row.Entry), spread.Config{Self: entry, OwnLead: row.Lead, Seeds: seeds})
+	go func() { _ = leadNode.Run(ctx) }()
+	go func() { _ = entryNode.Run(ctx) }()
+}
+
+// stop ends a host's processes; their boards are lost.
+func (d *deployment) stop(row place.HostRow) {
+	d.stops[row.Host]()
+	d.net.remove(row.Lead)
+	d.net.remove(row.Entry)
+	delete(d.leads, row.Host)
+	delete(d.entry, row.Host)
+}
+
+// behind returns the processes whose document has not the wanted body.
+func (d *deployment) behind(name spread.Name, body string) []string {
+	var out []string
+	for kind, boards := range map[string]map[place.Host]*spread.Memory{"lead": d.leads, "entry": d.entry} {
+		for host, board := range boards {
+			if doc, _ := board.Get(name); string(doc.Body) != body {
+				out = append(out, fmt.Sprintf("%s of %s has %q", kind, host, doc.Body))
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/spread/node_test.go
@@ -0,0 +1,147 @@
+package spread_test
+
+import (
+	"context"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/spread"
+)
+
+// inForce is the users' bound for a change of settings, in all places.
+const inForce = 4 * time.Second
+
+func run(t *testing.T, hosts, zones int, body func(t *testing.T, d *deployment)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		d := newDeployment(ctx, hosts, zones)
+		body(t, d)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
+func TestSettingsReachAllProcesses(t *testing.T) {
+	run(t, 12, 3, func(t *testing.T, d *deployment) {
+		d.store.set("one")
+		d.startAll()
+		time.Sleep(inForce)
+		assert.DeepEqual(t, d.behind(spread.Settings, "one"), []string(nil))
+		d.store.set("two")
+		time.Sleep(100 * time.Millisecond)
+		assert.DeepEqual(t, d.behind(spread.Settings, "two"), []string(nil))
+	})
+}
+
+func TestTableOfAnyLeadReachesAllProcesses(t *testing.T) {
+	run(t, 12, 3, func(t *testing.T, d *deployment) {
+		d.startAll()
+		time.Sleep(inForce)
+		for _, row := range d.hosts {
+			name := spread.TablePrefix + spread.Name(row.Host)
+			for version := range uint64(3) {
+				body := strings.Repeat(string(row.Host), 1000) + string(rune('a'+version))
+				doc := spread.Document{Name: name, Version: spread.Version{Major: 1, Minor: version + 1}, Body: []byte(body)}
+				d.leads[row.Host].Publish(doc)
+				time.Sleep(200 * time.Millisecond)
+				assert.DeepEqual(t, d.behind(name, body), []string(nil))
+			}
+		}
+	})
+}
+
+// TestRestartAgainstDeadStore replaces hosts while the store is down: they
+// take the newest settings from their peers.
+func TestRestartAgainstDeadStore(t *testing.T) {
+	run(t, 6, 3, func(t *testing.T, d *deployment) {
+		d.store.set("one")
+		d.startAll()
+		time.Sleep(inForce)
+		d.store.setDown(true)
+		for _, row := range d.hosts {
+			d.stop(row)
+			time.Sleep(time.Second)
+			d.start(row)
+			time.Sleep(inForce)
+			assert.DeepEqual(t, d.behind(spread.Settings, "one"), []string(nil))
+		}
+	})
+}
+
+// TestWatchersOfZoneLost takes both watchers of a zone away at once while the
+// fleet list goes on naming them: others stand in.
+func TestWatchersOfZoneLost(t *testing.T) {
+	run(t, 12, 3, func(t *testing.T, d *deployment) {
+		d.store.set("one")
+		d.startAll()
+		time.Sleep(inForce)
+		lost := spread.Watchers("zone-a", hostsOf(d.hosts, "zone-a"))
+		for _, row := range d.hosts {
+			if row.Host == lost[0] || row.Host == lost[1] {
+				d.stop(row)
+			}
+		}
+		d.store.set("two")
+		time.Sleep(3 * inForce)
+		assert.DeepEqual(t, d.behind(spread.Settings, "two"), []string(nil))
+		d.store.set("three")
+		time.Sleep(inForce)
+		assert.DeepEqual(t, d.behind(spread.Settings, "three"), []string(nil))
+	})
+}
+
+// TestZoneCutFromZone relays through the third zone.
+func TestZoneCutFromZone(t *testing.T) {
+	run(t, 9, 3, func(t *testing.T, d *deployment) {
+		d.startAll()
+		time.Sleep(inForce)
+		d.net.setCut(func(from, to netip.AddrPort) bool {
+			a, b := from.Addr().As4()[1], to.Addr().As4()[1]
+			return a+b == 1 // zone-a and zone-b
+		})
+		time.Sleep(3 * inForce)
+		doc := spread.Document{Name: "table/s/zone-a", Version: spread.Version{Major: 1}, Body: []byte("x")}
+		d.leads[d.hosts[0].Host].Publish(doc)
+		time.Sleep(inForce)
+		assert.DeepEqual(t, d.behind(doc.Name, "x"), []string(nil))
+	})
+}
+
+func hostsOf(rows []place.HostRow, zone place.Zone) []place.Host {
+	var out []place.Host
+	for _, row := range rows {
+		if row.Zone == zone {
+			out = append(out, row.Host)
+		}
+	}
+	return out
+}
+
+// TestStoreCallsStayFlat counts calls of the store over a minute as hosts are
+// added in three zones: past two hosts in each zone no more come.
+func TestStoreCallsStayFlat(t *testing.T) {
+	const window = time.Minute
+	calls := make(map[int]int)
+	for _, hosts := range []int{3, 6, 12, 48} {
+		run(t, hosts, 3, func(t *testing.T, d *deployment) {
+			d.store.set("one")
+			d.startAll()
+			time.Sleep(2 * inForce)
+			before := d.store.count()
+			time.Sleep(window)
+			calls[hosts] = d.store.count() - before
+			assert.DeepEqual(t, d.behind(spread.Settings, "one"), []string(nil))
+		})
+	}
+	t.Logf("store calls a minute by hosts: %v", calls)
+	for _, hosts := range []int{12, 48} {
+		assert.Assert(t, calls[hosts] <= calls[6]*12/10, "%d calls with %d hosts, %d with 6", calls[hosts], hosts, calls[6])
+	}
+}
--- /dev/null
+++ b/internal/spread/topology.go
@@ -0,0 +1,203 @@
+package spread
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"citrontray.example/citrontray/internal/peer"
+	"citrontray.example/citrontray/internal/place"
+)
+
+const (
+	// watchersPerZone is how many hosts of a zone watch the store.
+	watchersPerZone = 2
+	// maxRank bounds how far down its order a zone's hosts are tried: a zone
+	// that is cut off must not make others try all of its hosts.
+	maxRank = 3 * watchersPerZone
+	// maxSeeds bounds how many of the seeds are followed at once.
+	maxSeeds = 4
+)
+
+// Watchers returns the hosts that watch the store for a zone, of the hosts
+// given: the first by rendezvous hashing. All who know the same hosts agree.
+func Watchers(zone place.Zone, hosts []place.Host) []place.Host {
+	ranked := rank(zone, hosts)
+	return ranked[:min(len(ranked), watchersPerZone)]
+}
+
+func rank(zone place.Zone, hosts []place.Host) []place.Host {
+	out := slices.Clone(hosts)
+	slices.SortFunc(out, func(a, b place.Host) int {
+		return cmp.Or(cmp.Compare(weight(zone, b), weight(zone, a)), cmp.Compare(a, b))
+	})
+	return slices.Compact(out)
+}
+
+func weight(zone place.Zone, host place.Host) uint64 {
+	return xxhash.Sum64String(string(zone) + "\x00" + string(host))
+}
+
+// View is what a process knows when it decides whom to follow.
+type View struct {
+	Self place.Host
+	Zone place.Zone
+	Role peer.Role
+	// Addr is the process's own peer address, where it is known.
+	Addr netip.AddrPort
+	// OwnLead is where an entry finds the lead process of its own host.
+	OwnLead netip.AddrPort
+	Seeds   []netip.AddrPort
+	// Hosts is the newest known list of entry hosts; empty before the first.
+	Hosts []place.HostRow
+	// Suspected reports whether an address has not answered for a while.
+	Suspected func(netip.AddrPort) bool
+}
+
+// Arrangement is what follows from a View.
+type Arrangement struct {
+	// Watch tells whether this process watches the store.
+	Watch bool
+	// Follow lists the processes to hear documents from.
+	Follow []netip.AddrPort
+	// Push lists the processes to tell what this one published itself.
+	Push []netip.AddrPort
+}
+
+// Arrange decides whom a process follows, whom it tells, and whether it
+// watches the store. It decides nothing on ownership: where hosts disagree for
+// a while, some documents travel twice.
+func Arrange(v View) Arrangement {
+	if v.Role == peer.RoleEntry {
+		return arrangeEntry(v)
+	}
+	return arrangeLead(v)
+}
+
+func arrangeEntry(v View) Arrangement {
+	var follow addresses
+	if v.OwnLead.IsValid() {
+		follow.add(v.OwnLead)
+	}
+	if follow.allSuspected(v) {
+		follow.add(v.zoneWatchers(v.Zone)...)
+	}
+	if follow.allSuspected(v) {
+		follow.add(v.someSeeds()...)
+	}
+	return Arrangement{Follow: follow.list}
+}
+
+func arrangeLead(v View) Arrangement {
+	var a Arrangement
+	for _, host := range v.chosen(v.Zone, v.Suspected) {
+		a.Watch = a.Watch || host.Host == v.Self
+	}
+	var push, follow addresses
+	push.add(v.zoneWatchers(v.Zone)...)
+	follow.add(push.list...)
+	if a.Watch {
+		for _, zone := range v.otherZones() {
+			follow.add(v.zoneWatchers(zone)...)
+		}
+	}
+	if follow.allSuspected(v) {
+		follow.add(v.someSeeds()...)
+	}
+	if len(v.Hosts) == 0 {
+		push.add(v.someSeeds()...)
+	}
+	a.Follow, a.Push = follow.list, push.list
+	return a
+}
+
+// zoneWatchers returns the addresses of a zone's watchers by the list of hosts
+// alone and, where some of them are suspected, of those that stand in.
+func (v View) zoneWatchers(zone place.Zone) []netip.AddrPort {
+	var out addresses
+	none := func(netip.AddrPort) bool { return false }
+	for _, suspected := range []func(netip.AddrPort) bool{none, v.Suspected} {
+		for _, row := range v.chosen(zone, suspected) {
+			if row.Host != v.Self {
+				out.add(row.Lead)
+			}
+		}
+	}
+	return out.list
+}
+
+// chosen returns the rows of a zone's watchers among those not suspected.
+func (v View) chosen(zone place.Zone, suspected func(netip.AddrPort) bool) []place.HostRow {
+	rows := make(map[place.Host]place.HostRow)
+	var hosts []place.Host
+	for _, row := range v.Hosts {
+		if row.Zone != zone || row.State != place.Live || !row.Lead.IsValid() {
+			continue
+		}
+		rows[row.Host] = row
+		hosts = append(hosts, row.Host)
+	}
+	if zone == v.Zone && v.Role == peer.RoleLead && !v.leaving() {
+		rows[v.Self] = place.HostRow{Host: v.Self, Zone: zone}
+		hosts = append(hosts, v.Self)
+	}
+	ranked := rank(zone, hosts)
+	var out []place.HostRow
+	for _, host := range ranked[:min(len(ranked), maxRank)] {
+		if host != v.Self && suspected(rows[host].Lead) {
+			continue
+		}
+		if out = append(out, rows[host]); len(out) == watchersPerZone {
+			break
+		}
+	}
+	return out
+}
+
+// leaving reports whether this host itself is on its way out.
+func (v View) leaving() bool {
+	i := slices.IndexFunc(v.Hosts, func(r place.HostRow) bool { return r.Host == v.Self })
+	return i >= 0 && v.Hosts[i].State == place.Leaving
+}
+
+func (v View) otherZones() []place.Zone {
+	var out []place.Zone
+	for _, row := range v.Hosts {
+		if row.Zone != v.Zone && !slices.Contains(out, row.Zone) {
+			out = append(out, row.Zone)
+		}
+	}
+	return out
+}
+
+// someSeeds returns a few of the seeds, different ones for different hosts.
+func (v View) someSeeds() []netip.AddrPort {
+	out := slices.DeleteFunc(slices.Clone(v.Seeds), func(a netip.AddrPort) bool { return a == v.Addr })
+	order := func(a netip.AddrPort) uint64 {
+		return xxhash.Sum64String(string(v.Self) + "\x00" + a.String())
+	}
+	slices.SortFunc(out, func(a, b netip.AddrPort) int { return cmp.Compare(order(a), order(b)) })
+	return out[:min(len(out), maxSeeds)]
+}
+
+// addresses is a list without doubles.
+type addresses struct{ list []netip.AddrPort }
+
+func (a *addresses) add(more ...netip.AddrPort) {
+	for _, addr := range more {
+		if addr.IsValid() && !slices.Contains(a.list, addr) {
+			a.list = append(a.list, addr)
+		}
+	}
+}
+
+func (a *addresses) allSuspected(v View) bool {
+	for _, addr := range a.list {
+		if !v.Suspected(addr) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/spread/watcher.go
@@ -0,0 +1,178 @@
+package spread
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/platform"
+	"citrontray.example/citrontray/internal/settings"
+)
+
+const (
+	fleetInterval = time.Second
+	// watchTimeout is longer than the service's own wait for a change.
+	watchTimeout   = 40 * time.Second
+	readTimeout    = 10 * time.Second
+	firstStoreWait = 100 * time.Millisecond
+	maxStoreWait   = 2 * time.Second
+)
+
+// Watcher reads the platform's service and publishes what it finds. While the
+// service is down or slow, the board keeps what it has.
+type Watcher struct {
+	store platform.Store
+	board *Memory
+	log   *slog.Logger
+	// seen is the fleet list as this watcher read it last.
+	seen []byte
+}
+
+// NewWatcher returns a watcher that publishes on board.
+func NewWatcher(store platform.Store, board *Memory, log *slog.Logger) *Watcher {
+	return &Watcher{store: store, board: board, log: log}
+}
+
+// Run watches until ctx ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return w.loopSettings(ctx) })
+	group.Go(func() error { return w.loopFleet(ctx) })
+	return group.Wait()
+}
+
+// loopSettings reads the settings once, then waits for their changes.
+func (w *Watcher) loopSettings(ctx context.Context) error {
+	var from platform.Revision
+	failures := 0
+	for ctx.Err() == nil {
+		next, err := w.step(ctx, from)
+		if err != nil {
+			w.log.Debug("settings not read from the store", slog.Any("error", err))
+			sleep(ctx, storeWait(failures))
+			failures++
+			continue
+		}
+		failures = 0
+		from = next
+	}
+	return nil
+}
+
+func (w *Watcher) step(ctx context.Context, from platform.Revision) (platform.Revision, error) {
+	if from == 0 {
+		return w.readSettings(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	changes, next, err := w.store.Watch(ctx, settings.StorePath, from)
+	if err != nil {
+		return from, err
+	}
+	for _, change := range changes {
+		if change.Path == settings.StorePath && !change.Deleted {
+			w.publishSettings(change.Entry)
+		}
+	}
+	return max(from, next), nil
+}
+
+// readSettings starts a watch: it returns the revision to watch from.
+func (w *Watcher) readSettings(ctx context.Context) (platform.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	entries, revision, err := w.store.List(ctx, settings.StorePath)
+	if err != nil {
+		return 0, err
+	}
+	for _, entry := range entries {
+		if entry.Path == settings.StorePath {
+			w.publishSettings(entry)
+		}
+	}
+	return max(revision, 1), nil
+}
+
+// publishSettings offers one revision; the board refuses an older one.
+func (w *Watcher) publishSettings(entry platform.Entry) {
+	doc := Document{Name: Settings, Version: Version{Major: uint64(entry.Revision)}, Body: entry.Value}
+	if w.board.offer(doc, originStore) {
+		w.log.Info("settings read from the store", slog.Uint64("revision", uint64(entry.Revision)))
+	}
+}
+
+// loopFleet reads the list of hosts and targets at each interval.
+func (w *Watcher) loopFleet(ctx context.Context) error {
+	failures := 0
+	for ctx.Err() == nil {
+		if err := w.readFleet(ctx); err != nil {
+			w.log.Debug("fleet list not read", slog.Any("error", err))
+			sleep(ctx, storeWait(failures))
+			failures++
+			continue
+		}
+		failures = 0
+		sleep(ctx, fleetInterval/2+rand.N(fleetInterval))
+	}
+	return nil
+}
+
+func (w *Watcher) readFleet(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	fleet, err := w.store.Fleet(ctx)
+	if err != nil {
+		return err
+	}
+	sortFleet(&fleet)
+	body, err := EncodeFleet(fleet)
+	if err != nil {
+		return err
+	}
+	w.publishFleet(time.Now(), body)
+	return nil
+}
+
+// publishFleet offers a list only where this watcher saw the list move: two
+// watchers whose answers lag differently would else replace each other's list
+// once a second.
+func (w *Watcher) publishFleet(now time.Time, body []byte) {
+	moved := !bytes.Equal(w.seen, body)
+	w.seen = body
+	last, _ := w.board.Get(Fleet)
+	if !moved || bytes.Equal(last.Body, body) {
+		return
+	}
+	major := max(uint64(now.UnixMilli()), last.Version.Major+1)
+	w.board.offer(Document{Name: Fleet, Version: Version{Major: major}, Body: body}, originStore)
+}
+
+// sortFleet makes equal lists equal byte for byte.
+func sortFleet(fleet *platform.Fleet) {
+	slices.SortFunc(fleet.Hosts, func(a, b place.HostRow) int { return cmp.Compare(a.Host, b.Host) })
+	slices.SortFunc(fleet.Targets, func(a, b place.TargetRow) int { return cmp.Compare(a.Target, b.Target) })
+}
+
+// storeWait returns the time before the next attempt at the store.
+func storeWait(failures int) time.Duration {
+	const maxDoublings = 8
+	full := min(firstStoreWait<<min(failures, maxDoublings), maxStoreWait)
+	return full/2 + rand.N(full/2)
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
