--- /dev/null
+++ b/internal/entry/fixture_test.go
@@ -0,0 +1,324 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/entry"
+	"citrontray.example/citrontray/internal/journal"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/metric"
+	"citrontray.example/citrontray/internal/outcome"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/queue"
+	"citrontray.example/citrontray/internal/settings"
+	"citrontray.example/citrontray/internal/spread"
+	"citrontray.example/citrontray/internal/table"
+	"citrontray.example/citrontray/internal/target"
+)
+
+// board is a spread.Board that keeps decoded documents by their body.
+type board struct {
+	mu        sync.Mutex
+	docs      map[spread.Name]spread.Document
+	watchers  []chan struct{}
+	settings  *settings.Settings
+	tables    map[string]*table.Table
+	sequences int
+}
+
+func newBoard() *board {
+	return &board{docs: map[spread.Name]spread.Document{}, tables: map[string]*table.Table{}}
+}
+
+func (b *board) Publish(doc spread.Document) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.docs[doc.Name] = doc
+	for _, c := range b.watchers {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+	return true
+}
+
+func (b *board) Get(name spread.Name) (spread.Document, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	d, ok := b.docs[name]
+	return d, ok
+}
+
+func (b *board) Subscribe(spread.Name) <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := make(chan struct{}, 1)
+	b.watchers = append(b.watchers, c)
+	return c
+}
+
+func (b *board) List(prefix spread.Name) []spread.Document {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []spread.Document
+	for name, d := range b.docs {
+		if strings.HasPrefix(string(name), string(prefix)) {
+			out = append(out, d)
+		}
+	}
+	slices.SortFunc(out, func(x, y spread.Document) int { return strings.Compare(string(x.Name), string(y.Name)) })
+	return out
+}
+
+func (b *board) putSettings(s *settings.Settings) {
+	b.mu.Lock()
+	b.settings = s
+	b.sequences++
+	v := spread.Version{Major: uint64(b.sequences)}
+	b.mu.Unlock()
+	b.Publish(spread.Document{Name: spread.Settings, Version: v})
+}
+
+func (b *board) putTable(t *table.Table) {
+	b.mu.Lock()
+	b.sequences++
+	id := fmt.Sprint(b.sequences)
+	b.tables[id] = t
+	v := spread.Version{Major: uint64(b.sequences)}
+	b.mu.Unlock()
+	name := spread.TablePrefix + spread.Name(string(t.Service)+"/"+string(t.Zone))
+	b.Publish(spread.Document{Name: name, Version: v, Body: []byte(id)})
+}
+
+func (b *board) decodeSettings([]byte) (*settings.Settings, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.settings, nil
+}
+
+func (b *board) decodeTable(body []byte) (*table.Table, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tables[string(body)], nil
+}
+
+// The services of the fixture and their callers' credentials.
+const (
+	balance  key.Service = "balance"
+	plan     key.Service = "plan"
+	clerk                = "clerk-credential"
+	office               = "office-credential"
+	bodySize             = 1000
+)
+
+func someSettings() *settings.Settings {
+	callers := []settings.Caller{"clerk", "office"}
+	return &settings.Settings{
+		Services: []settings.Service{
+			{Name: balance, Shards: 4, Slots: 3, Connections: 60, BodyBytes: bodySize},
+			{Name: plan, Shards: 4, Slots: 3, Connections: 60, BodyBytes: bodySize},
+		},
+		Routes: []settings.Route{
+			{Name: "look", Service: balance, Callers: callers, Methods: []string{"GET"}, Path: "/balance/{key}", KeySource: settings.KeyInPath, Class: settings.Interactive, Idempotent: true, Timeout: 2 * time.Second},
+			{Name: "plan", Service: plan, Callers: callers, Methods: []string{"POST"}, Path: "/plan/{key}", KeySource: settings.KeyInPath, Class: settings.Registering, Timeout: 2 * time.Second},
+		},
+		Callers: []settings.CallerRow{
+			{Name: "clerk", Tenant: "agency", CredentialHash: sha256.Sum256([]byte(clerk))},
+			{Name: "office", Tenant: "agency", CredentialHash: sha256.Sum256([]byte(office))},
+		},
+	}
+}
+
+// someTable gives all shards of a service to one target.
+func someTable(name key.Service, addr netip.AddrPort) *table.Table {
+	t := &table.Table{
+		Service: name, Zone: "zone-a", Shards: 4,
+		Targets: []table.Target{{Target: place.Target("target-" + addr.String()), Addr: addr}},
+	}
+	for s := range key.Shard(4) {
+		t.Rows = append(t.Rows, table.Row{Shard: s, Epoch: 7, Owner: 0})
+	}
+	return t
+}
+
+// fixture is an entry behind a server, with a board under the test's control.
+type fixture struct {
+	*testing.T
+	board  *board
+	entry  *entry.Entry
+	server *httptest.Server
+}
+
+func newFixture(t *testing.T, change func(*entry.Config)) *fixture {
+	t.Helper()
+	b := newBoard()
+	b.putSettings(someSettings())
+	cfg := entry.Config{
+		Board: b, DecodeSettings: b.decodeSettings, DecodeTable: b.decodeTable,
+		Log: journal.Nop(), Registry: metric.New("test"), Hosts: 1, Queue: queue.DefaultConfig(),
+		Park: time.Second, Parked: 100, Memory: 1 << 20, Tick: time.Millisecond,
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	f := &fixture{T: t, board: b, entry: entry.New(cfg)}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.entry.Run(ctx)
+	}()
+	f.server = httptest.NewServer(f.entry)
+	t.Cleanup(func() {
+		f.server.Close()
+		cancel()
+		<-done
+		f.entry.Close()
+	})
+	return f
+}
+
+// own makes a target the owner of all shards of both services.
+func (f *fixture) own(addr netip.AddrPort) {
+	f.board.putTable(someTable(balance, addr))
+	f.board.putTable(someTable(plan, addr))
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	outcome outcome.Outcome
+	reason  outcome.Reason
+	header  http.Header
+	body    string
+}
+
+// call sends one request of a caller.
+func (f *fixture) call(method, path, body string, header ...string) answer {
+	f.Helper()
+	req, err := http.NewRequest(method, f.server.URL+path, strings.NewReader(body))
+	assert.NilError(f, err)
+	return f.send(req, header...)
+}
+
+func (f *fixture) send(req *http.Request, header ...string) answer {
+	f.Helper()
+	req.Header.Set("Authorization", "Bearer "+clerk)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	assert.NilError(f, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	assert.NilError(f, err)
+	return answer{
+		status: resp.StatusCode, header: resp.Header, body: string(text),
+		outcome: outcome.Outcome(resp.Header.Get(outcome.Header)),
+		reason:  outcome.Reason(resp.Header.Get(outcome.HeaderReason)),
+	}
+}
+
+// fakeTarget is a target of which a test decides what each request meets.
+type fakeTarget struct {
+	listener net.Listener
+	behave   func(c net.Conn, r *http.Request, id string) bool
+
+	mu   sync.Mutex
+	runs map[string]int // by path and body
+	ids  map[string]int
+}
+
+// newTarget starts a target; behave answers one request and reports whether
+// the connection stays open. nil stands for a whole answer.
+func newTarget(t *testing.T, behave func(net.Conn, *http.Request, string) bool) *fakeTarget {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	f := &fakeTarget{listener: l, behave: behave, runs: map[string]int{}, ids: map[string]int{}}
+	t.Cleanup(func() { _ = l.Close() })
+	go f.loop()
+	return f
+}
+
+func (f *fakeTarget) addr() netip.AddrPort {
+	return f.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func (f *fakeTarget) loop() {
+	for {
+		c, err := f.listener.Accept()
+		if err != nil {
+			return
+		}
+		go f.run(c)
+	}
+}
+
+func (f *fakeTarget) run(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		id := r.Header.Get(target.HeaderRequest)
+		f.count(r.Method+" "+r.URL.Path+" "+string(body), id)
+		if f.behave == nil {
+			reply(c, id, "ran "+r.URL.Path+" "+string(body))
+			continue
+		}
+		if !f.behave(c, r, id) {
+			return
+		}
+	}
+}
+
+func (f *fakeTarget) count(what, id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runs[what]++
+	f.ids[id]++
+}
+
+func (f *fakeTarget) total() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, c := range f.ids {
+		n += c
+	}
+	return n
+}
+
+// reply writes a whole answer.
+func reply(c net.Conn, id, body string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", target.HeaderRequest, id, len(body), body)
+}
+
+// refuse writes a refusal that guarantees that nothing ran.
+func refuse(c net.Conn, id string, why target.Refusal) {
+	fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
+		target.HeaderRequest, id, target.HeaderNotRun, why)
+}
--- /dev/null
+++ b/internal/entry/lane.go
@@ -0,0 +1,288 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"citrontray.example/citrontray/internal/forward"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/outcome"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/queue"
+	"citrontray.example/citrontray/internal/settings"
+	"citrontray.example/citrontray/internal/table"
+)
+
+const (
+	// dialTimeout bounds one attempt to connect to a target.
+	dialTimeout = 500 * time.Millisecond
+	// downFirst and downMost bound the pause before the next try of a target
+	// that took no connection.
+	downFirst = 20 * time.Millisecond
+	downMost  = time.Second
+	// busyPause is the pause of a lane after a refusal for want of a slot.
+	busyPause = 2 * time.Millisecond
+	// firstEstimate is the service time assumed before the first answer.
+	firstEstimate = 2 * time.Millisecond
+	// estimateWeight is the weight of the newest service time in the mean.
+	estimateWeight = 0.1
+)
+
+// lane is the work of this entry host for one target: its queue, its free
+// slots, its connections and what results tell of its health.
+type lane struct {
+	entry   *Entry
+	service key.Service
+	target  place.Target
+	addr    string
+	pool    *forward.Pool
+
+	mu      sync.Mutex
+	queue   *queue.Queue[*work]
+	limiter limiter
+	since   time.Time
+	warmUp  time.Duration
+	running int
+	// each is the decayed mean of the service time.
+	each time.Duration
+	// down counts failed connects in a row; until resume nothing is sent.
+	down   int
+	resume time.Time
+	timer  *time.Timer
+	closed bool
+}
+
+// signal is what a waiting request hears from its lane.
+type signal interface{ signal() }
+
+// granted: the request holds a slot. moved: its shard has another owner.
+// dropped: it left the queue and did not run.
+type (
+	granted struct{}
+	moved   struct{}
+	dropped struct{ failure outcome.NotRunFailure }
+)
+
+func (granted) signal() {}
+func (moved) signal()   {}
+func (dropped) signal() {}
+
+func newLane(e *Entry, row *table.Target, cfg *settings.Service) *lane {
+	limit := max(cfg.Connections/max(e.cfg.Hosts, 1), cfg.Slots, 1)
+	l := &lane{
+		entry:   e,
+		service: cfg.Name,
+		target:  row.Target,
+		addr:    row.Addr.String(),
+		queue:   queue.New[*work](e.cfg.Queue),
+		limiter: newLimiter(max(cfg.Slots, 1)),
+		each:    firstEstimate,
+	}
+	l.pool = forward.New(forward.Config{
+		Addr:        row.Addr,
+		Limit:       limit,
+		Warm:        max(cfg.Slots, 1),
+		Dial:        e.cfg.Dial,
+		DialTimeout: dialTimeout,
+	})
+	return l
+}
+
+// configure takes over what tables and settings say now.
+func (l *lane) configure(row *table.Target, cfg *settings.Service) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.since, l.warmUp = row.Since, cfg.WarmUp
+	if l.limiter.slots != cfg.Slots && cfg.Slots > 0 {
+		l.limiter = newLimiter(cfg.Slots)
+	}
+}
+
+// run warms the connections of a new lane: a new one costs a millisecond.
+func (l *lane) run(ctx context.Context, now time.Time) {
+	if err := l.pool.Warm(ctx, now); err != nil {
+		l.entry.log.Debug("Target takes no connection.", "target", string(l.target), "error", err)
+	}
+}
+
+// enter gives the request a slot, or queues it, or drops it.
+func (l *lane) enter(now time.Time, w *work) signal {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return moved{}
+	}
+	if l.queue.Len() == 0 && l.mayStart(now) {
+		l.running++
+		return granted{}
+	}
+	e := queue.Entry[*work]{Caller: w.caller(), Class: w.class(), Deadline: w.deadline, Value: w}
+	if w.returned {
+		w.ticket = l.queue.Return(e)
+		l.schedule(now)
+		return nil
+	}
+	ticket, verdict, out, pushed := l.queue.Push(now, e, l.pace())
+	if verdict != queue.Queued {
+		return dropped{l.overload(verdict)}
+	}
+	if pushed {
+		out.wake <- dropped{l.overload(queue.Full)}
+	}
+	w.ticket = ticket
+	l.schedule(now)
+	return nil
+}
+
+// overload tells the caller when the queue as it is will be worked off.
+func (l *lane) overload(_ queue.Verdict) outcome.NotRunFailure {
+	wait := time.Duration(l.queue.Len()+1) * l.pace()
+	return outcome.NotRunFailure{Reason: outcome.Overload, RetryAfter: max(wait, time.Second)}
+}
+
+// pace returns the mean time between two requests served.
+func (l *lane) pace() time.Duration {
+	return l.each / time.Duration(max(int(l.limiter.limit), 1))
+}
+
+func (l *lane) mayStart(now time.Time) bool {
+	if now.Before(l.resume) {
+		return false
+	}
+	if l.down > 0 {
+		return l.running == 0
+	}
+	return l.running < l.limiter.allowed(now, l.since, l.warmUp)
+}
+
+// start hands free slots to waiting requests.
+func (l *lane) start(now time.Time) {
+	for l.queue.Len() > 0 && l.mayStart(now) {
+		e, ok := l.queue.Pop(now)
+		if !ok {
+			return
+		}
+		l.running++
+		e.Value.wake <- granted{}
+	}
+	l.schedule(now)
+}
+
+// schedule sets the timer where waiting work depends on the passing of time.
+func (l *lane) schedule(now time.Time) {
+	if l.queue.Len() == 0 || !now.Before(l.resume) {
+		return
+	}
+	wait := l.resume.Sub(now)
+	if l.timer == nil {
+		l.timer = time.AfterFunc(wait, l.loop)
+		return
+	}
+	l.timer.Reset(wait)
+}
+
+// loop is one turn of the lane's timer.
+func (l *lane) loop() {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.start(now)
+}
+
+// leave takes a request out of the queue; it reports false where the request
+// was handed a signal before.
+func (l *lane) leave(w *work) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.Remove(w.ticket)
+}
+
+// release gives back a slot and draws the conclusions from the result.
+func (l *lane) release(now time.Time, took time.Duration, r forward.Result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running--
+	switch r := r.(type) {
+	case forward.Answered:
+		l.succeed(took)
+	case forward.Refused:
+		l.down = 0
+		if r.Refusal == refusalBusy {
+			l.limiter.lower()
+			l.pause(now, busyPause)
+		}
+	case forward.NotSent:
+		if r.Err != context.Canceled && r.Err != forward.ErrFull {
+			l.fail(now)
+		}
+	}
+	l.start(now)
+}
+
+func (l *lane) succeed(took time.Duration) {
+	l.down = 0
+	l.limiter.raise()
+	l.each += time.Duration(estimateWeight * float64(took-l.each))
+}
+
+// fail backs off from a target that takes no connection: one request tries
+// it at a time, however many wait.
+func (l *lane) fail(now time.Time) {
+	l.down++
+	l.pause(now, min(downFirst<<min(l.down-1, 10), downMost))
+}
+
+// pause lets nothing start for about d, spread so that entry hosts do not
+// come back together.
+func (l *lane) pause(now time.Time, d time.Duration) {
+	l.resume = now.Add(d/2 + rand.N(d))
+}
+
+// tick drops what waited past its deadline and starts what may start.
+func (l *lane) tick(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, w := range l.queue.Expire(now) {
+		w.wake <- dropped{outcome.NotRunFailure{Reason: outcome.Deadline, RetryAfter: time.Second}}
+	}
+	l.start(now)
+}
+
+// wakeMoved wakes the waiting requests whose shard the view gives to another
+// target or another epoch.
+func (l *lane) wakeMoved(v *view) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := l.queue.RemoveWhere(func(e queue.Entry[*work]) bool {
+		s := v.services[l.service]
+		if s == nil {
+			return true
+		}
+		_, o := s.find(e.Value.hash)
+		return o.lane != l
+	})
+	for _, w := range out {
+		w.wake <- moved{}
+	}
+}
+
+// clear drops all that waits: the entry host stops.
+func (l *lane) clear(reason outcome.Reason) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, w := range l.queue.RemoveWhere(func(queue.Entry[*work]) bool { return true }) {
+		w.wake <- dropped{outcome.NotRunFailure{Reason: reason, RetryAfter: time.Second}}
+	}
+}
+
+func (l *lane) close() {
+	l.mu.Lock()
+	l.closed = true
+	for _, w := range l.queue.RemoveWhere(func(queue.Entry[*work]) bool { return true }) {
+		w.wake <- moved{}
+	}
+	l.mu.Unlock()
+	l.pool.Close()
+}
--- /dev/null
+++ b/internal/entry/limit.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"citrontray.example/citrontray/internal/settings"
+)
+
+// Retry budget: resends are bounded to a tenth of the requests, so that many
+// failures at once do not multiply the load.
+const (
+	budgetShare = 0.1
+	budgetBurst = 20
+)
+
+// budget bounds resends. It is not safe for concurrent use.
+type budget struct{ tokens float64 }
+
+func newBudget() budget { return budget{tokens: budgetBurst} }
+
+// earn counts one request.
+func (b *budget) earn() { b.tokens = min(b.tokens+budgetShare, budgetBurst) }
+
+// spend takes the right to one resend, if there is one.
+func (b *budget) spend() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Adaptive concurrency: a whole answer raises the limit a little, a refusal
+// for want of a slot lowers it.
+const (
+	limitRaise = 0.1
+	limitLower = 0.7
+)
+
+// limiter is the number of requests that this entry host sends to one target
+// at once. It is not safe for concurrent use.
+type limiter struct {
+	slots int
+	limit float64
+}
+
+func newLimiter(slots int) limiter {
+	return limiter{slots: slots, limit: float64(slots)}
+}
+
+func (l *limiter) raise() { l.limit = min(l.limit+limitRaise/l.limit, float64(l.slots)) }
+func (l *limiter) lower() { l.limit = max(l.limit*limitLower, 1) }
+
+// allowed returns the concurrency at a time, which ramps up from 1 while the
+// target is cold.
+func (l *limiter) allowed(now, since time.Time, warmUp time.Duration) int {
+	n := int(l.limit + 0.5)
+	age := now.Sub(since)
+	if since.IsZero() || warmUp <= 0 || age >= warmUp {
+		return n
+	}
+	ramp := 1 + int(float64(l.slots-1)*float64(max(age, 0))/float64(warmUp))
+	return min(n, ramp)
+}
+
+// callerLimit is one settings.Limit at this entry host.
+type callerLimit struct {
+	rate       *rate.Limiter
+	concurrent int
+	running    int
+}
+
+type callerLimitID struct {
+	caller settings.Caller
+	class  settings.Class
+}
+
+// allow takes the right to one request; wait tells when to come back.
+func (l *callerLimit) allow(now time.Time) (ok bool, wait time.Duration) {
+	if l.concurrent > 0 && l.running >= l.concurrent {
+		return false, time.Second
+	}
+	if l.rate != nil {
+		r := l.rate.ReserveN(now, 1)
+		if d := r.DelayFrom(now); !r.OK() || d > 0 {
+			r.CancelAt(now)
+			return false, d
+		}
+	}
+	l.running++
+	return true, 0
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,190 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"citrontray.example/citrontray/internal/forward"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/outcome"
+	"citrontray.example/citrontray/internal/route"
+	"citrontray.example/citrontray/internal/target"
+)
+
+const (
+	// defaultTimeout holds for routes that name none.
+	defaultTimeout = 10 * time.Second
+	// defaultBody bounds bodies of services that name no bound, in bytes.
+	defaultBody = 1 << 20
+	// maxIdempotencyKey is the longest idempotency key, in bytes.
+	maxIdempotencyKey = 128
+)
+
+// ServeHTTP answers one request of a caller.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
+	if e.draining.Load() {
+		w.Header()["Connection"] = []string{"close"}
+	}
+	v := e.view.Load()
+	if v.routes == nil {
+		outcome.Write(w, notRun(outcome.Starting, retryAfter))
+		return
+	}
+	m, reason := v.routes.Find(r)
+	if reason != "" {
+		result := outcome.NotRunFailure{Reason: reason}
+		e.metrics.rejected(m.Caller, reason)
+		outcome.Write(w, result)
+		return
+	}
+	result := e.admit(w, r, m, start)
+	e.metrics.ended(m, result, time.Since(start))
+	outcome.Write(w, result)
+}
+
+// admit checks the caller's limit, reads the body and runs the request.
+func (e *Entry) admit(rw http.ResponseWriter, r *http.Request, m route.Match, now time.Time) outcome.Result {
+	leave, wait, ok := e.limit(now, m)
+	if !ok {
+		return notRun(outcome.Limited, wait)
+	}
+	defer leave()
+	w, failure := e.newWork(rw, r, m, now)
+	if failure != nil {
+		return failure
+	}
+	defer e.memory.release(int64(len(w.request.Body)))
+	idempotency, ok := idempotencyKey(r.Header)
+	if !ok {
+		return outcome.NotRunFailure{Reason: outcome.BadHeader}
+	}
+	if idempotency == "" {
+		return e.serve(r.Context(), w)
+	}
+	return e.join(r.Context(), w, idempotency)
+}
+
+func idempotencyKey(h http.Header) (string, bool) {
+	values := h[target.HeaderIdempotency]
+	if len(values) == 0 {
+		return "", true
+	}
+	return values[0], len(values) == 1 && values[0] != "" && len(values[0]) <= maxIdempotencyKey
+}
+
+// newWork reads the request whole.
+func (e *Entry) newWork(rw http.ResponseWriter, r *http.Request, m route.Match, now time.Time) (*work, outcome.Result) {
+	timeout := m.Route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if ms, err := strconv.ParseInt(r.Header.Get(target.HeaderDeadline), 10, 32); err == nil && ms > 0 {
+		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	}
+	bound := m.Service.BodyBytes
+	if bound <= 0 {
+		bound = defaultBody
+	}
+	w := &work{Match: m, hash: key.HashOf(m.Key), deadline: now.Add(timeout), wake: make(chan signal, 1)}
+	w.request = forward.Request{
+		ID:       e.ids.next(),
+		Method:   r.Method,
+		URI:      r.URL.RequestURI(),
+		Header:   forward.Forwardable(r.Header),
+		Service:  m.Service.Name,
+		Deadline: w.deadline,
+		MaxBody:  bound,
+	}
+	if r.Body == nil || r.Body == http.NoBody {
+		return w, nil
+	}
+	body, failure := e.readBody(rw, r, bound, w.deadline)
+	w.request.Body = body
+	return w, failure
+}
+
+// readBody reads a body into memory: bounded for the request, bounded for the
+// entry host, within the deadline.
+func (e *Entry) readBody(rw http.ResponseWriter, r *http.Request, bound int64, deadline time.Time) ([]byte, outcome.Result) {
+	if r.ContentLength > bound {
+		return nil, outcome.NotRunFailure{Reason: outcome.BodyTooBig}
+	}
+	size := r.ContentLength
+	if size < 0 {
+		size = bound
+	}
+	if !e.memory.reserve(size) {
+		return nil, notRun(outcome.Overload, retryAfter)
+	}
+	control := http.NewResponseController(rw)
+	_ = control.SetReadDeadline(deadline)
+	body, err := io.ReadAll(io.LimitReader(r.Body, bound+1))
+	_ = control.SetReadDeadline(time.Time{})
+	e.memory.release(size - min(int64(len(body)), bound))
+	if err == nil && int64(len(body)) <= bound {
+		return body, nil
+	}
+	e.memory.release(min(int64(len(body)), bound))
+	if err == nil {
+		return nil, outcome.NotRunFailure{Reason: outcome.BodyTooBig}
+	}
+	var tooBig *http.MaxBytesError
+	if errors.As(err, &tooBig) {
+		return nil, outcome.NotRunFailure{Reason: outcome.BodyTooBig}
+	}
+	return nil, outcome.NotRunFailure{Reason: outcome.BodyCut}
+}
+
+// join runs the request, or waits for the run of the same request that came
+// before.
+func (e *Entry) join(ctx context.Context, w *work, idempotency string) outcome.Result {
+	id := joinID{w.caller(), w.Route.Name, idempotency}
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	f, first, ok := e.joins.enter(time.Now(), id, digest(w), cancel)
+	if !ok {
+		cancel()
+		return outcome.NotRunFailure{Reason: outcome.KeyReused}
+	}
+	if !first {
+		cancel()
+		return e.follow(ctx, w, f)
+	}
+	stop := context.AfterFunc(ctx, func() { e.joins.leave(f) })
+	result := e.serve(runCtx, w)
+	e.joins.end(time.Now(), id, f, result)
+	if stop() {
+		e.joins.leave(f)
+	}
+	return result
+}
+
+// follow waits for another request's run. It may have run already, so a
+// caller whose time is up learns that the outcome is unknown.
+func (e *Entry) follow(ctx context.Context, w *work, f *flight) outcome.Result {
+	defer e.joins.leave(f)
+	timer := time.NewTimer(time.Until(w.deadline))
+	defer timer.Stop()
+	select {
+	case <-f.done:
+		return f.result
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return outcome.UnknownFailure{Reason: outcome.AnswerLate}
+}
+
+// digest tells different requests with the same idempotency key apart.
+func digest(w *work) [sha256.Size]byte {
+	h := sha256.New()
+	for _, text := range []string{w.request.Method, "\x00", w.request.URI, "\x00", w.Key, "\x00"} {
+		_, _ = io.WriteString(h, text)
+	}
+	_, _ = h.Write(w.request.Body)
+	return [sha256.Size]byte(h.Sum(nil))
+}
--- /dev/null
+++ b/internal/entry/view.go
@@ -0,0 +1,236 @@
+package entry
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"citrontray.example/citrontray/internal/grant"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/route"
+	"citrontray.example/citrontray/internal/settings"
+	"citrontray.example/citrontray/internal/spread"
+	"citrontray.example/citrontray/internal/table"
+)
+
+// view is all that requests are judged by at one moment. It is immutable.
+type view struct {
+	settings *settings.Settings
+	routes   *route.Table
+	services map[key.Service]*service
+	tables   []*table.Table
+	// replaced is closed once a newer view is in force.
+	replaced chan struct{}
+}
+
+// service is the merged routing table of one service over all zones.
+type service struct {
+	shards key.ShardCount
+	rows   map[key.Shard]owner // solo shards included
+	dense  []owner             // hash-range shards, by index
+	solos  map[key.Hash]key.Shard
+	load   *serviceLoad
+}
+
+// owner is the target of one shard; lane is nil where none owns it now.
+type owner struct {
+	lane  *lane
+	epoch grant.Epoch
+}
+
+// find returns the shard of a key and its owner.
+func (s *service) find(h key.Hash) (key.Shard, owner) {
+	if len(s.solos) > 0 {
+		if shard, ok := s.solos[h]; ok {
+			return shard, s.rows[shard]
+		}
+	}
+	shard := h.Shard(s.shards)
+	if int(shard) >= len(s.dense) {
+		return shard, owner{}
+	}
+	return shard, s.dense[shard]
+}
+
+// refresh builds a view from the board and puts it in force.
+func (e *Entry) refresh(now time.Time) {
+	e.refreshing.Lock()
+	defer e.refreshing.Unlock()
+	old := e.view.Load()
+	v := &view{
+		settings: old.settings,
+		routes:   old.routes,
+		services: make(map[key.Service]*service),
+		replaced: make(chan struct{}),
+	}
+	if !e.readSettings(v) {
+		return
+	}
+	v.tables = e.readTables()
+	for _, t := range v.tables {
+		e.mergeTable(v, t, now)
+	}
+	e.view.Store(v)
+	close(old.replaced)
+	e.sweepLanes(v, now)
+}
+
+// readSettings takes the newest settings; it reports false while there are
+// none yet.
+func (e *Entry) readSettings(v *view) bool {
+	doc, ok := e.cfg.Board.Get(spread.Settings)
+	if !ok {
+		return v.settings != nil
+	}
+	if doc.Version == e.settingsVersion {
+		return true
+	}
+	s, err := e.cfg.DecodeSettings(doc.Body)
+	if err != nil {
+		e.log.Error("Settings are unreadable.", "error", err)
+		return v.settings != nil
+	}
+	e.settingsVersion = doc.Version
+	v.settings = s
+	v.routes = route.New(s)
+	e.resetLimits(s)
+	e.log.Info("Settings in force.", "revision", doc.Version.Major)
+	return true
+}
+
+// readTables decodes the newest table of each cell, sorted by document name.
+func (e *Entry) readTables() []*table.Table {
+	var out []*table.Table
+	for _, doc := range e.cfg.Board.List(spread.TablePrefix) {
+		known, ok := e.tableCache[doc.Name]
+		if !ok || known.version != doc.Version {
+			t, err := e.cfg.DecodeTable(doc.Body)
+			if err != nil {
+				e.log.Error("Table is unreadable.", "table", string(doc.Name), "error", err)
+				continue
+			}
+			known = cachedTable{version: doc.Version, table: t}
+			e.tableCache[doc.Name] = known
+		}
+		out = append(out, known.table)
+	}
+	return out
+}
+
+// cachedTable is a decoded table document.
+type cachedTable struct {
+	version spread.Version
+	table   *table.Table
+}
+
+// mergeTable adds the rows of one cell: for each shard the row with the
+// highest epoch over all zones wins, since a zone that was cut off may still
+// publish what it no longer has custody of.
+func (e *Entry) mergeTable(v *view, t *table.Table, now time.Time) {
+	at := slices.IndexFunc(v.settings.Services, func(s settings.Service) bool { return s.Name == t.Service })
+	if at < 0 {
+		return
+	}
+	cfg := &v.settings.Services[at]
+	s := v.services[t.Service]
+	if s == nil {
+		s = e.newService(t)
+		v.services[t.Service] = s
+	}
+	lanes := make([]*lane, len(t.Targets))
+	for i := range t.Targets {
+		lanes[i] = e.laneOf(t, &t.Targets[i], cfg, now)
+	}
+	for _, row := range t.Rows {
+		s.add(row, lanes)
+	}
+	for _, solo := range t.Solos {
+		s.solos[solo.Hash] = solo.Shard
+	}
+}
+
+func (e *Entry) newService(t *table.Table) *service {
+	return &service{
+		shards: t.Shards,
+		rows:   make(map[key.Shard]owner),
+		dense:  make([]owner, t.Shards),
+		solos:  make(map[key.Hash]key.Shard),
+		load:   e.load.service(t.Service, t.Shards),
+	}
+}
+
+func (s *service) add(row table.Row, lanes []*lane) {
+	o := owner{epoch: row.Epoch}
+	if int(row.Owner) < len(lanes) {
+		o.lane = lanes[row.Owner]
+	}
+	if int(row.Shard) < len(s.dense) {
+		if row.Epoch >= s.dense[row.Shard].epoch {
+			s.dense[row.Shard] = o
+		}
+		return
+	}
+	if known, ok := s.rows[row.Shard]; !ok || row.Epoch >= known.epoch {
+		s.rows[row.Shard] = o
+	}
+}
+
+// laneID tells the lanes of one target's lives at different addresses apart.
+type laneID struct {
+	service key.Service
+	target  place.Target
+	addr    string
+}
+
+// laneOf returns the lane of a target, made on first sight.
+func (e *Entry) laneOf(t *table.Table, row *table.Target, cfg *settings.Service, now time.Time) *lane {
+	id := laneID{t.Service, row.Target, row.Addr.String()}
+	l := e.lanes[id]
+	if l == nil {
+		l = newLane(e, row, cfg)
+		e.lanes[id] = l
+		go l.run(e.ctx, now)
+	}
+	l.configure(row, cfg)
+	return l
+}
+
+// sweepLanes wakes waiting work whose owner changed and closes the lanes of
+// targets that no table names any more.
+func (e *Entry) sweepLanes(v *view, now time.Time) {
+	used := make(map[*lane]bool, len(e.lanes))
+	for _, s := range v.services {
+		for i := range s.dense {
+			used[s.dense[i].lane] = true
+		}
+		for _, o := range s.rows {
+			used[o.lane] = true
+		}
+	}
+	for id, l := range e.lanes {
+		l.wakeMoved(v)
+		if used[l] || l.named(v) {
+			continue
+		}
+		l.close()
+		delete(e.lanes, id)
+		e.log.Info("Target left.", "target", string(id.target))
+	}
+	_ = now
+}
+
+// named reports whether a table of the view still lists the lane's target.
+func (l *lane) named(v *view) bool {
+	for _, t := range v.tables {
+		if t.Service != l.service {
+			continue
+		}
+		for i := range t.Targets {
+			if t.Targets[i].Target == l.target && strings.EqualFold(t.Targets[i].Addr.String(), l.addr) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/entry/work.go
@@ -0,0 +1,250 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"citrontray.example/citrontray/internal/forward"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/outcome"
+	"citrontray.example/citrontray/internal/queue"
+	"citrontray.example/citrontray/internal/route"
+	"citrontray.example/citrontray/internal/settings"
+	"citrontray.example/citrontray/internal/target"
+)
+
+const refusalBusy = target.RefusalBusy
+
+const (
+	// parkStep is how long a request that a target refused as not its owner
+	// waits for a newer table before the target is asked again: the target
+	// may get its grant after the table is out.
+	// The wait doubles each time, up to parkDoublings times.
+	parkStep      = 40 * time.Millisecond
+	parkDoublings = 4
+	// retryAfter is the hint where nothing better is known.
+	retryAfter = time.Second
+)
+
+// work is one request on its way to the owner of its key.
+type work struct {
+	route.Match
+
+	request  forward.Request
+	hash     key.Hash
+	deadline time.Time
+	// parkUntil bounds the waiting for an owner.
+	parkUntil time.Time
+	wake      chan signal
+	ticket    queue.Ticket
+	// returned tells that the request held a slot before and did not run.
+	returned bool
+	// resent tells that the request was sent again after an uncertain try.
+	resent bool
+	// refusedBy is the owner that said it does not own the shard; parks
+	// counts the waits for a newer table.
+	refusedBy owner
+	parks     int
+}
+
+func (w *work) caller() settings.Caller { return w.Caller.Name }
+func (w *work) class() settings.Class   { return w.Route.Class }
+
+// step is what to do after one try.
+type step interface{ step() }
+
+// finish ends the request; again tries it at once; park waits for a newer
+// table first.
+type (
+	finish struct{ result outcome.Result }
+	again  struct{}
+	park   struct{ reason outcome.Reason }
+)
+
+func (finish) step() {}
+func (again) step()  {}
+func (park) step()   {}
+
+// serve takes one request to its end. ctx ends when nobody waits for the
+// answer any more.
+func (e *Entry) serve(ctx context.Context, w *work) outcome.Result {
+	e.earn()
+	for {
+		v := e.view.Load()
+		switch s := e.try(ctx, v, w).(type) {
+		case finish:
+			return s.result
+		case park:
+			if failure := e.park(ctx, v, w, s.reason); failure != nil {
+				return failure
+			}
+		case again:
+		}
+	}
+}
+
+// try sends the request to the owner that the view names.
+func (e *Entry) try(ctx context.Context, v *view, w *work) step {
+	s := v.services[w.Service.Name]
+	if s == nil {
+		return park{outcome.NoOwner}
+	}
+	shard, o := s.find(w.hash)
+	if o.lane == nil || o == w.refusedBy && !e.spend() {
+		return park{outcome.NoOwner}
+	}
+	switch sig := e.await(ctx, o.lane, w).(type) {
+	case moved:
+		return again{}
+	case dropped:
+		return finish{sig.failure}
+	}
+	w.request.Shard, w.request.Epoch = shard, o.epoch
+	if now, stale := time.Now(), e.stale(w, o); stale {
+		o.lane.release(now, 0, forward.NotSent{Err: context.Canceled})
+		return again{}
+	}
+	return e.send(ctx, s, o, w)
+}
+
+// stale reports whether the owner changed while the request waited.
+func (e *Entry) stale(w *work, o owner) bool {
+	s := e.view.Load().services[w.Service.Name]
+	if s == nil {
+		return true
+	}
+	shard, newest := s.find(w.hash)
+	return newest != o || shard != w.request.Shard
+}
+
+// await waits for a slot of the lane. On every way out but granted the
+// request is out of the queue and did not run.
+func (e *Entry) await(ctx context.Context, l *lane, w *work) signal {
+	now := time.Now()
+	if !w.deadline.After(now) {
+		return dropped{notRun(outcome.Deadline, retryAfter)}
+	}
+	if sig := l.enter(now, w); sig != nil {
+		return sig
+	}
+	select {
+	case sig := <-w.wake:
+		return sig
+	case <-ctx.Done():
+	}
+	if !l.leave(w) {
+		if _, ok := (<-w.wake).(granted); ok {
+			l.release(time.Now(), 0, forward.NotSent{Err: context.Canceled})
+		}
+	}
+	return dropped{notRun(outcome.CallerGone, retryAfter)}
+}
+
+// send makes one try with the slot held, and gives the slot back.
+func (e *Entry) send(ctx context.Context, s *service, o owner, w *work) step {
+	l := o.lane
+	start := time.Now()
+	if !w.deadline.After(start) {
+		l.release(start, 0, forward.NotSent{Err: context.Canceled})
+		return finish{notRun(outcome.Deadline, retryAfter)}
+	}
+	result := l.pool.Do(w.sendContext(ctx), &w.request, start)
+	end := time.Now()
+	took := end.Sub(start)
+	l.release(end, took, result)
+	s.load.add(w.request.Shard, w.hash, took)
+	e.metrics.tried(result)
+	return e.judge(ctx, o, w, result)
+}
+
+// sendContext lets a caller that hung up cancel a look-up that runs. Other
+// work runs to its end: breaking it off would leave its outcome unknown.
+func (w *work) sendContext(ctx context.Context) context.Context {
+	if w.Route.Idempotent {
+		return ctx
+	}
+	return context.WithoutCancel(ctx)
+}
+
+// judge decides what follows one try.
+func (e *Entry) judge(ctx context.Context, o owner, w *work, result forward.Result) step {
+	switch r := result.(type) {
+	case forward.Answered:
+		return finish{r.Answer}
+	case forward.Refused:
+		return e.judgeRefused(o, w, r.Refusal)
+	case forward.NotSent:
+		return e.judgeNotSent(ctx, w, r.Err)
+	case forward.Uncertain:
+		if w.Route.Idempotent && !w.resent && ctx.Err() == nil && r.Reason != outcome.AnswerLate && e.spend() {
+			w.resent, w.returned = true, true
+			return again{}
+		}
+		return finish{outcome.UnknownFailure{Reason: r.Reason}}
+	}
+	return finish{outcome.UnknownFailure{Reason: outcome.AnswerBad}}
+}
+
+// judgeRefused follows a target's word that nothing ran.
+func (e *Entry) judgeRefused(o owner, w *work, refusal target.Refusal) step {
+	w.returned = true
+	switch refusal {
+	case target.RefusalBusy:
+		return again{}
+	case target.RefusalDeadline:
+		return finish{notRun(outcome.Deadline, retryAfter)}
+	case target.RefusalOwner, target.RefusalDraining:
+		w.refusedBy = o
+		return park{outcome.NoOwner}
+	}
+	return finish{notRun(outcome.Refused, retryAfter)}
+}
+
+// judgeNotSent follows a try of which no byte left.
+func (e *Entry) judgeNotSent(ctx context.Context, w *work, err error) step {
+	w.returned = true
+	if ctx.Err() != nil {
+		return finish{notRun(outcome.CallerGone, retryAfter)}
+	}
+	if errors.Is(err, forward.ErrClosed) || errors.Is(err, forward.ErrFull) || e.spend() {
+		return park{outcome.Unreachable}
+	}
+	return finish{notRun(outcome.Unreachable, retryAfter)}
+}
+
+// park waits for a newer view, or parkStep if the view names an owner. It
+// returns the failure where the request is given up instead.
+func (e *Entry) park(ctx context.Context, v *view, w *work, reason outcome.Reason) outcome.Result {
+	now := time.Now()
+	if w.parkUntil.IsZero() {
+		w.parkUntil = now.Add(e.cfg.Park)
+	}
+	end := w.parkUntil
+	if w.deadline.Before(end) {
+		end = w.deadline
+	}
+	if !end.After(now) || !e.parked.enter() {
+		return notRun(reason, retryAfter)
+	}
+	defer e.parked.leave()
+	pause := parkStep << min(w.parks, parkDoublings)
+	w.parks++
+	wait := min(end.Sub(now), pause/2+rand.N(pause))
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-v.replaced:
+	case <-timer.C:
+	case <-ctx.Done():
+		return notRun(outcome.CallerGone, retryAfter)
+	case <-e.stopping:
+		return notRun(outcome.Stopping, retryAfter)
+	}
+	return nil
+}
+
+func notRun(reason outcome.Reason, after time.Duration) outcome.NotRunFailure {
+	return outcome.NotRunFailure{Reason: reason, RetryAfter: after}
+}
--- /dev/null
+++ b/internal/forward/conn.go
@@ -0,0 +1,163 @@
+package forward
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"citrontray.example/citrontray/internal/outcome"
+	"citrontray.example/citrontray/internal/target"
+)
+
+const (
+	// maxAnswerHead bounds the status line and headers of an answer.
+	maxAnswerHead = 64 << 10
+	// readBuffer is the size of a connection's read buffer.
+	readBuffer = 4 << 10
+	// maxInterim bounds the 1xx answers before the final one.
+	maxInterim = 4
+)
+
+// conn is one connection to a target; one request at a time uses it.
+type conn struct {
+	net.Conn
+	raw    syscall.RawConn
+	br     *bufio.Reader
+	bound  io.LimitedReader
+	out    []byte
+	broken bool
+	idleAt time.Time
+}
+
+func newConn(c net.Conn) *conn {
+	k := &conn{Conn: c}
+	k.bound.R = c
+	k.br = bufio.NewReaderSize(&k.bound, readBuffer)
+	if s, ok := c.(syscall.Conn); ok {
+		k.raw, _ = s.SyscallConn()
+	}
+	return k
+}
+
+// quiet reports whether a kept connection is still open and silent. Bytes that
+// wait on it are a late or doubled answer: the connection is not used again.
+func (c *conn) quiet() bool {
+	if c.broken || c.br.Buffered() > 0 {
+		return false
+	}
+	if c.raw == nil {
+		return true
+	}
+	ok := false
+	err := c.raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ok = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && ok
+}
+
+// do sends a request and reads its answer. After anything but a whole answer
+// the connection is broken and must be closed.
+func (c *conn) do(r *Request, host string, now time.Time) Result {
+	c.broken = true
+	c.out = appendHead(c.out[:0], r, host, r.Deadline.Sub(now))
+	c.out = append(c.out, r.Body...)
+	n, err := c.Write(c.out)
+	if cap(c.out) > readBuffer {
+		c.out = nil // a large body's buffer is not kept per connection
+	}
+	if err != nil && n == 0 {
+		return NotSent{Err: err}
+	}
+	if err != nil {
+		return uncertain(outcome.SendCut, err)
+	}
+	return c.read(r)
+}
+
+func (c *conn) read(r *Request) Result {
+	c.bound.N = maxAnswerHead
+	resp, err := c.readHead(r.Method)
+	if err != nil {
+		return uncertain(outcome.AnswerCut, err)
+	}
+	defer resp.Body.Close()
+	if ids := resp.Header[target.HeaderRequest]; len(ids) != 1 || ids[0] != r.ID {
+		return Uncertain{Reason: outcome.AnswerWrong, Err: errors.New("forward: answer to another request")}
+	}
+	if !framed(resp) {
+		return Uncertain{Reason: outcome.AnswerBad, Err: errors.New("forward: answer without a length")}
+	}
+	if resp.ContentLength > r.MaxBody {
+		return Uncertain{Reason: outcome.AnswerTooBig, Err: fmt.Errorf("forward: answer of %d bytes", resp.ContentLength)}
+	}
+	body, failure := c.readBody(resp, r.MaxBody)
+	if failure != nil {
+		return failure
+	}
+	c.broken = resp.Close || c.br.Buffered() > 0
+	if refusal := resp.Header[target.HeaderNotRun]; len(refusal) == 1 {
+		return Refused{Refusal: target.Refusal(refusal[0])}
+	}
+	return Answered{outcome.Answer{Status: resp.StatusCode, Header: Forwardable(resp.Header), Body: body}}
+}
+
+// readHead reads the final answer's head. An upgrade was never asked for.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	req := &http.Request{Method: method}
+	for range maxInterim {
+		resp, err := http.ReadResponse(c.br, req)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("forward: target switches protocols")
+		}
+	}
+	return nil, errors.New("forward: too many interim answers")
+}
+
+// framed reports whether the end of the body shows a cut answer: a length, or
+// chunks. A body that ends with the connection does not.
+func framed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
+func (c *conn) readBody(resp *http.Response, bound int64) ([]byte, Result) {
+	c.bound.N = bound + maxAnswerHead // chunk heads and trailers included
+	if n := resp.ContentLength; n >= 0 && resp.Request.Method != http.MethodHead {
+		body := make([]byte, n)
+		if _, err := io.ReadFull(resp.Body, body); err != nil {
+			return nil, uncertain(outcome.AnswerCut, err)
+		}
+		return body, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, bound+1))
+	if err != nil {
+		return nil, uncertain(outcome.AnswerCut, err)
+	}
+	if int64(len(body)) > bound {
+		return nil, Uncertain{Reason: outcome.AnswerTooBig, Err: errors.New("forward: answer over the bound")}
+	}
+	return body, nil
+}
+
+// uncertain tells a deadline from a broken connection.
+func uncertain(reason outcome.Reason, err error) Uncertain {
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		reason = outcome.AnswerLate
+	}
+	return Uncertain{Reason: reason, Err: err}
+}
--- /dev/null
+++ b/internal/forward/header.go
@@ -0,0 +1,109 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"citrontray.example/citrontray/internal/target"
+)
+
+// ownPrefix starts the names of the headers that only the system may set.
+const ownPrefix = "Citrontray-"
+
+// dropped are the headers that end at this hop or that a caller may not set.
+var dropped = map[string]bool{
+	"Authorization":       true,
+	"Connection":          true,
+	"Content-Length":      true,
+	"Expect":              true,
+	"Forwarded":           true,
+	"Host":                true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"X-Forwarded-For":     true,
+	"X-Forwarded-Host":    true,
+	"X-Forwarded-Proto":   true,
+	"X-Real-Ip":           true,
+}
+
+// Forwardable returns the headers of a caller's request, or of an answer, that
+// may pass: no hop-by-hop header, none that Connection names, none of ours. A
+// name with an underscore is dropped too, since some servers read
+// "Citrontray_Shard" as "Citrontray-Shard".
+func Forwardable(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	for name, values := range h {
+		if !dropped[name] && !strings.HasPrefix(name, ownPrefix) && strings.IndexByte(name, '_') < 0 {
+			out[name] = values
+		}
+	}
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			delete(out, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	return out
+}
+
+// appendHead writes the request line and the headers. All strings of a caller
+// went through net/http's parser; a line break left in one is dropped.
+func appendHead(b []byte, r *Request, host string, left time.Duration) []byte {
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = appendClean(b, r.URI)
+	b = append(b, " HTTP/1.1\r\n"...)
+	b = appendField(b, "Host", host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			b = appendField(b, name, value)
+		}
+	}
+	b = appendField(b, target.HeaderRequest, r.ID)
+	b = appendField(b, target.HeaderService, string(r.Service))
+	b = appendNumber(b, target.HeaderShard, uint64(r.Shard))
+	b = appendNumber(b, target.HeaderEpoch, uint64(r.Epoch))
+	b = appendNumber(b, target.HeaderDeadline, uint64(max(left.Milliseconds(), 0)))
+	if len(r.Body) > 0 || hasBody(r.Method) {
+		b = appendNumber(b, "Content-Length", uint64(len(r.Body)))
+	}
+	return append(b, "\r\n"...)
+}
+
+// hasBody reports whether a request of the method announces even an empty body.
+func hasBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
+func appendField(b []byte, name, value string) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = appendClean(b, value)
+	return append(b, "\r\n"...)
+}
+
+func appendNumber(b []byte, name string, n uint64) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = strconv.AppendUint(b, n, 10)
+	return append(b, "\r\n"...)
+}
+
+func appendClean(b []byte, value string) []byte {
+	if strings.IndexByte(value, '\n') < 0 && strings.IndexByte(value, '\r') < 0 {
+		return append(b, value...)
+	}
+	for i := 0; i < len(value); i++ {
+		if value[i] != '\r' && value[i] != '\n' {
+			b = append(b, value[i])
+		}
+	}
+	return b
+}
--- /dev/null
+++ b/internal/forward/pool.go
@@ -0,0 +1,199 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// ErrClosed is returned once the pool is closed.
+var ErrClosed = errors.New("forward: pool closed")
+
+// ErrFull is returned where all connections that the pool may open are in use.
+var ErrFull = errors.New("forward: no free connection")
+
+// Dial opens a connection to a target.
+type Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+
+// DialTCP is the Dial of the daemons.
+func DialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr.String())
+}
+
+// Config bounds a pool.
+type Config struct {
+	Addr netip.AddrPort
+	// Limit is the largest number of open connections.
+	Limit int
+	// Warm is the number of idle connections that Warm keeps open.
+	Warm int
+	Dial Dial
+	// DialTimeout bounds one attempt to connect.
+	DialTimeout time.Duration
+}
+
+// Pool keeps the connections to one target. Safe for concurrent use.
+type Pool struct {
+	cfg  Config
+	host string
+
+	mu     sync.Mutex
+	idle   []*conn
+	open   int
+	closed bool
+}
+
+// New returns a pool without connections.
+func New(cfg Config) *Pool {
+	if cfg.Dial == nil {
+		cfg.Dial = DialTCP
+	}
+	return &Pool{cfg: cfg, host: cfg.Addr.String()}
+}
+
+// Do makes one try. Closing ctx breaks the connection, which asks the target
+// to cancel; the result is then Uncertain.
+func (p *Pool) Do(ctx context.Context, r *Request, now time.Time) Result {
+	if ctx.Err() != nil {
+		return NotSent{Err: ctx.Err()}
+	}
+	c, err := p.take(ctx, r.Deadline)
+	if err != nil {
+		return NotSent{Err: err}
+	}
+	if err := c.SetDeadline(r.Deadline); err != nil {
+		c.broken = true
+		p.put(c)
+		return NotSent{Err: err}
+	}
+	var stop func() bool
+	if ctx.Done() != nil {
+		stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	}
+	result := c.do(r, p.host, now)
+	if stop != nil && !stop() {
+		c.broken = true
+	}
+	p.put(c)
+	return result
+}
+
+// take returns a kept connection that is still good, or opens one.
+func (p *Pool) take(ctx context.Context, deadline time.Time) (*conn, error) {
+	for {
+		c, err := p.takeIdle()
+		if err != nil {
+			return nil, err
+		}
+		if c == nil {
+			return p.connect(ctx, deadline)
+		}
+		if c.quiet() {
+			return c, nil
+		}
+		c.broken = true
+		p.put(c)
+	}
+}
+
+// takeIdle returns the connection used last, or nil after counting a new one
+// against the limit.
+func (p *Pool) takeIdle() (*conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, ErrClosed
+	}
+	if n := len(p.idle); n > 0 {
+		c := p.idle[n-1]
+		p.idle[n-1] = nil
+		p.idle = p.idle[:n-1]
+		return c, nil
+	}
+	if p.open >= p.cfg.Limit {
+		return nil, ErrFull
+	}
+	p.open++
+	return nil, nil
+}
+
+func (p *Pool) connect(ctx context.Context, deadline time.Time) (*conn, error) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	if p.cfg.DialTimeout > 0 {
+		ctx, cancel = context.WithTimeout(ctx, p.cfg.DialTimeout)
+		defer cancel()
+	}
+	c, err := p.cfg.Dial(ctx, p.cfg.Addr)
+	if err != nil {
+		p.forget()
+		return nil, err
+	}
+	return newConn(c), nil
+}
+
+func (p *Pool) forget() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+func (p *Pool) put(c *conn) {
+	p.mu.Lock()
+	keep := !c.broken && !p.closed
+	if keep {
+		p.idle = append(p.idle, c)
+	} else {
+		p.open--
+	}
+	p.mu.Unlock()
+	if !keep {
+		_ = c.Close()
+	}
+}
+
+// Warm opens connections until Config.Warm are idle or in use. It stops at
+// the first failure and returns it.
+func (p *Pool) Warm(ctx context.Context, now time.Time) error {
+	for p.wantsWarm() {
+		c, err := p.connect(ctx, now.Add(p.cfg.DialTimeout))
+		if err != nil {
+			return err
+		}
+		p.put(c)
+	}
+	return nil
+}
+
+func (p *Pool) wantsWarm() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.open >= min(p.cfg.Warm, p.cfg.Limit) {
+		return false
+	}
+	p.open++
+	return true
+}
+
+// Open returns the number of open connections.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+// Close closes the idle connections; those in use close after their request.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle, p.closed = nil, true
+	p.open -= len(idle)
+	p.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/internal/forward/result.go
@@ -0,0 +1,56 @@
+// Package forward sends requests to targets over kept connections and says of
+// each failure whether the request may have run.
+//
+// It has its own small pool over net/http's reader, not http.Transport: that
+// one sends a request again by itself when a kept connection breaks, for every
+// request with an Idempotency-Key header, and so would run it twice.
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"citrontray.example/citrontray/internal/grant"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/outcome"
+	"citrontray.example/citrontray/internal/target"
+)
+
+// Request is one request to a target. Header holds only what may be
+// forwarded; the headers of package target are added here.
+type Request struct {
+	ID       string
+	Method   string
+	URI      string // path and query as the caller sent them
+	Header   http.Header
+	Body     []byte
+	Service  key.Service
+	Shard    key.Shard
+	Epoch    grant.Epoch
+	Deadline time.Time
+	// MaxBody bounds the body of the answer, in bytes.
+	MaxBody int64
+}
+
+// Result is what is known of a request after one try.
+type Result interface{ result() }
+
+// Answered is the whole answer to this very request.
+type Answered struct{ outcome.Answer }
+
+// Refused tells that the target refused the request and did not run it.
+type Refused struct{ Refusal target.Refusal }
+
+// NotSent tells that no byte of the request left: it did not run.
+type NotSent struct{ Err error }
+
+// Uncertain tells that the request may have run.
+type Uncertain struct {
+	Reason outcome.Reason
+	Err    error
+}
+
+func (Answered) result()  {}
+func (Refused) result()   {}
+func (NotSent) result()   {}
+func (Uncertain) result() {}
