Failure points of the data path, each with a test

Cause: two faults that the tests of failure points found. A look-up that was cut once and then found no owner ended as not-run though it may have run; it ends as unknown now. Closing the body of an oversized answer read on until the deadline; the connection is closed first now. Also: each registry of metrics has its own collectors, so that a process may hold two.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -228,3 +228,16 @@
 		e.limitMu.Unlock()
 	}, 0, true
 }
+
+// Waiting returns the number of requests that wait in queues or for an owner.
+func (e *Entry) Waiting() int {
+	e.refreshing.Lock()
+	defer e.refreshing.Unlock()
+	n := int(e.parked.now.Load())
+	for _, l := range e.lanes {
+		l.mu.Lock()
+		n += l.queue.Len()
+		l.mu.Unlock()
+	}
+	return n
+}
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -272,7 +272,7 @@
 }
 
 func (f *fakeTarget) run(c net.Conn) {
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	br := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(br)
@@ -322,3 +322,5 @@
 	fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
 		target.HeaderRequest, id, target.HeaderNotRun, why)
 }
+
+type entryConfig = entry.Config
--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -214,7 +215,7 @@
 			l.pause(now, busyPause)
 		}
 	case forward.NotSent:
-		if r.Err != context.Canceled && r.Err != forward.ErrFull {
+		if !errors.Is(r.Err, context.Canceled) && !errors.Is(r.Err, forward.ErrFull) {
 			l.fail(now)
 		}
 	}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -89,8 +89,8 @@
 	return c
 }
 
-// rejected records a request that led nowhere. Its caller may be unknown.
-func (m *metrics) rejected(_ *route.Caller, reason outcome.Reason) {
+// rejected records a request that led nowhere.
+func (m *metrics) rejected(reason outcome.Reason) {
 	m.end(endID{outcome.NotRun, reason}).Inc(1)
 }
 
--- /dev/null
+++ b/internal/entry/outcome_test.go
@@ -0,0 +1,383 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/outcome"
+	"citrontray.example/citrontray/internal/queue"
+	"citrontray.example/citrontray/internal/target"
+)
+
+// expectation is the outcome of a row of docs/outcomes.md: of a look-up, which
+// is idempotent, and of a registration, which is not.
+type expectation struct {
+	outcome outcome.Outcome
+	reason  outcome.Reason
+	runs    int
+}
+
+func done(runs int) expectation { return expectation{outcome.Done, "", runs} }
+
+func unknown(reason outcome.Reason, runs int) expectation {
+	return expectation{outcome.Unknown, reason, runs}
+}
+
+func unrun(reason outcome.Reason) expectation {
+	return expectation{outcome.NotRun, reason, 0}
+}
+
+// behaviour answers one request; it reports whether the connection stays open.
+type behaviour func(net.Conn, *http.Request, string) bool
+
+// once behaves badly on the first request alone.
+func once(bad behaviour) behaviour {
+	first := make(chan struct{}, 1)
+	first <- struct{}{}
+	return func(c net.Conn, r *http.Request, id string) bool {
+		select {
+		case <-first:
+			return bad(c, r, id)
+		default:
+			reply(c, id, "whole")
+			return true
+		}
+	}
+}
+
+// raw answers with a text in which ID stands for the request's id.
+func raw(text string, open bool) behaviour {
+	return func(c net.Conn, _ *http.Request, id string) bool {
+		_, _ = io.WriteString(c, strings.ReplaceAll(text, "ID", id))
+		return open
+	}
+}
+
+const head = "HTTP/1.1 200 OK\r\nCitrontray-Request: "
+
+// TestFailurePoints goes through the answers that a target can give.
+func TestFailurePoints(t *testing.T) {
+	tests := map[string]struct {
+		behave         behaviour
+		once           bool // only the first request meets it
+		look, register expectation
+	}{
+		"target killed after the last byte": {
+			func(net.Conn, *http.Request, string) bool { return false }, true,
+			done(2), unknown(outcome.AnswerCut, 1),
+		},
+		"target always killed after the last byte": {
+			func(net.Conn, *http.Request, string) bool { return false }, false,
+			unknown(outcome.AnswerCut, 2), unknown(outcome.AnswerCut, 1),
+		},
+		"answer cut in its head": {
+			raw(head+"ID\r\nContent-Le", false), true, done(2), unknown(outcome.AnswerCut, 1),
+		},
+		"answer cut in its body": {
+			raw(head+"ID\r\nContent-Length: 10\r\n\r\n12345", false), true, done(2), unknown(outcome.AnswerCut, 1),
+		},
+		"chunked answer cut": {
+			raw(head+"ID\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n", false), true, done(2), unknown(outcome.AnswerCut, 1),
+		},
+		"answer of another request": {
+			raw(head+"another\r\nContent-Length: 2\r\n\r\nno", true), true, done(2), unknown(outcome.AnswerWrong, 1),
+		},
+		"answer without an id": {
+			raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno", true), true, done(2), unknown(outcome.AnswerWrong, 1),
+		},
+		"answer with two ids": {
+			raw(head+"ID\r\nCitrontray-Request: another\r\nContent-Length: 2\r\n\r\nno", true), true, done(2), unknown(outcome.AnswerWrong, 1),
+		},
+		"answer too big by its length": {
+			raw(head+"ID\r\nContent-Length: 2000\r\n\r\n", true), true, done(2), unknown(outcome.AnswerTooBig, 1),
+		},
+		"answer too big by its chunks": {
+			raw(head+"ID\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n"+strings.Repeat("x", 2000)+"\r\n0\r\n\r\n", true), true,
+			done(2), unknown(outcome.AnswerTooBig, 1),
+		},
+		"answer whose head is too big": {
+			raw(head+"ID\r\nX: "+strings.Repeat("x", 80<<10)+"\r\nContent-Length: 0\r\n\r\n", false), true,
+			done(2), unknown(outcome.AnswerCut, 1),
+		},
+		"answer without a length": {
+			raw(head+"ID\r\n\r\nbody", false), true, done(2), unknown(outcome.AnswerBad, 1),
+		},
+		"answer that is not HTTP": {
+			raw("hello\r\n\r\n", false), true, done(2), unknown(outcome.AnswerCut, 1),
+		},
+		"answer that switches protocols": {
+			raw("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n", true), true, done(2), unknown(outcome.AnswerCut, 1),
+		},
+		"interim answer first": {
+			raw("HTTP/1.1 103 Early Hints\r\n\r\n"+head+"ID\r\nContent-Length: 2\r\n\r\nok", true), false, done(1), done(1),
+		},
+		"error status with the id": {
+			raw("HTTP/1.1 500 Internal Server Error\r\nCitrontray-Request: ID\r\nContent-Length: 0\r\n\r\n", true), false, done(1), done(1),
+		},
+		"chunked answer": {
+			raw(head+"ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", true), false, done(1), done(1),
+		},
+		"no answer within the deadline": {
+			func(c net.Conn, _ *http.Request, _ string) bool {
+				_, _ = c.Read(make([]byte, 1)) // until the other side hangs up
+				return false
+			}, false,
+			unknown(outcome.AnswerLate, 1), unknown(outcome.AnswerLate, 1),
+		},
+	}
+	for name, test := range tests {
+		t.Run(name+"/look", func(t *testing.T) {
+			failurePoint(t, test.behave, test.once, "GET", "/balance/k", test.look)
+		})
+		t.Run(name+"/register", func(t *testing.T) {
+			failurePoint(t, test.behave, test.once, "POST", "/plan/k", test.register)
+		})
+	}
+}
+
+func failurePoint(t *testing.T, behave behaviour, only bool, method, path string, want expectation) {
+	if only {
+		behave = once(behave)
+	}
+	f := newFixture(t, nil)
+	owner := newTarget(t, behave)
+	f.own(owner.addr())
+	a := f.call(method, path, "", target.HeaderDeadline, "300")
+	assert.Equal(t, a.outcome, want.outcome, a.body)
+	assert.Equal(t, a.reason, want.reason)
+	assert.Equal(t, owner.total(), want.runs)
+	if want.outcome == outcome.Unknown {
+		assert.Assert(t, !strings.Contains(a.body, owner.addr().String()), "the address leaks")
+	}
+}
+
+// TestRefusals goes through the refusals that guarantee that nothing ran.
+func TestRefusals(t *testing.T) {
+	tests := map[string]struct {
+		refusal target.Refusal
+		first   bool // only the first request is refused
+		want    expectation
+	}{
+		"owner, until the table moves": {target.RefusalOwner, false, unrun(outcome.NoOwner)},
+		"owner, once":                  {target.RefusalOwner, true, done(1)},
+		"busy, once":                   {target.RefusalBusy, true, done(1)},
+		"busy, always":                 {target.RefusalBusy, false, unrun(outcome.Deadline)},
+		"deadline":                     {target.RefusalDeadline, false, unrun(outcome.Deadline)},
+		"draining":                     {target.RefusalDraining, false, unrun(outcome.NoOwner)},
+		"a reason not in the list":     {"other", false, unrun(outcome.Refused)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			refused := 0
+			answered := 0
+			f := newFixture(t, nil)
+			owner := newTarget(t, func(c net.Conn, _ *http.Request, id string) bool {
+				if test.first && refused > 0 {
+					answered++
+					reply(c, id, "whole")
+					return true
+				}
+				refused++
+				refuse(c, id, test.refusal)
+				return true
+			})
+			f.own(owner.addr())
+			a := f.call("POST", "/plan/k", "", target.HeaderDeadline, "300")
+			assert.Equal(t, a.outcome, test.want.outcome)
+			assert.Equal(t, a.reason, test.want.reason)
+			assert.Equal(t, answered, test.want.runs)
+		})
+	}
+}
+
+// TestDoubledAnswer shows that the second copy of an answer reaches nobody.
+func TestDoubledAnswer(t *testing.T) {
+	f := newFixture(t, nil)
+	owner := newTarget(t, func(c net.Conn, r *http.Request, id string) bool {
+		whole := fmt.Sprintf("%s%s\r\nContent-Length: %d\r\n\r\n%s", head, id, len(r.URL.Path), r.URL.Path)
+		_, _ = io.WriteString(c, whole+whole)
+		return true
+	})
+	f.own(owner.addr())
+	for i := range 20 {
+		path := fmt.Sprintf("/plan/k%d", i)
+		a := f.call("POST", path, "")
+		assert.Equal(t, a.outcome, outcome.Done)
+		assert.Equal(t, a.body, path)
+	}
+}
+
+func TestUnreachableTarget(t *testing.T) {
+	f := newFixture(t, nil)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := l.Addr().(*net.TCPAddr).AddrPort()
+	assert.NilError(t, l.Close())
+	f.own(addr)
+	a := f.call("POST", "/plan/k", "", target.HeaderDeadline, "300")
+	assert.Equal(t, a.outcome, outcome.NotRun)
+	assert.Assert(t, a.reason == outcome.Unreachable || a.reason == outcome.Deadline, a.reason)
+	assert.Assert(t, a.header.Get("Retry-After") != "")
+}
+
+func TestNoOwner(t *testing.T) {
+	f := newFixture(t, nil)
+	a := f.call("POST", "/plan/k", "", target.HeaderDeadline, "100")
+	assert.Equal(t, a.outcome, outcome.NotRun)
+	assert.Equal(t, a.reason, outcome.NoOwner)
+}
+
+// TestOwnerComesWhileParked shows that a request outlives an unowned moment.
+func TestOwnerComesWhileParked(t *testing.T) {
+	f := newFixture(t, nil)
+	owner := newTarget(t, nil)
+	got := make(chan answer, 1)
+	go func() { got <- f.call("POST", "/plan/k", "") }()
+	waitFor(t, func() bool { return f.entry.Waiting() == 1 })
+	f.own(owner.addr())
+	assert.Equal(t, (<-got).outcome, outcome.Done)
+	assert.Equal(t, owner.total(), 1)
+}
+
+// blocking is a target that answers once it is let go.
+func blocking(t *testing.T) (*fakeTarget, chan struct{}) {
+	free := make(chan struct{})
+	return newTarget(t, func(c net.Conn, _ *http.Request, id string) bool {
+		<-free
+		reply(c, id, "whole")
+		return true
+	}), free
+}
+
+// fill takes all slots of the plan service's target.
+func (f *fixture) fill(owner *fakeTarget) chan answer {
+	out := make(chan answer, 3)
+	for i := range 3 {
+		go func() { out <- f.call("POST", fmt.Sprintf("/plan/fill%d", i), "") }()
+	}
+	waitFor(f.T, func() bool { return owner.total() == 3 })
+	return out
+}
+
+func waitFor(t *testing.T, ok func() bool) {
+	t.Helper()
+	for range 5000 {
+		if ok() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("did not come")
+}
+
+func TestDeadlinePassesInQueue(t *testing.T) {
+	f := newFixture(t, nil)
+	owner, free := blocking(t)
+	f.own(owner.addr())
+	filled := f.fill(owner)
+	a := f.call("POST", "/plan/late", "", target.HeaderDeadline, "100")
+	assert.Equal(t, a.outcome, outcome.NotRun)
+	assert.Equal(t, a.reason, outcome.Deadline)
+	close(free)
+	for range 3 {
+		assert.Equal(t, (<-filled).outcome, outcome.Done)
+	}
+	assert.Equal(t, owner.total(), 3)
+}
+
+func TestCallerLeavesQueue(t *testing.T) {
+	f := newFixture(t, nil)
+	owner, free := blocking(t)
+	f.own(owner.addr())
+	filled := f.fill(owner)
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.server.URL+"/plan/gone", http.NoBody)
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+clerk)
+	failed := make(chan error, 1)
+	go func() {
+		resp, err := http.DefaultTransport.RoundTrip(req)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		failed <- err
+	}()
+	waitFor(t, func() bool { return f.entry.Waiting() == 1 })
+	cancel()
+	assert.Assert(t, <-failed != nil)
+	waitFor(t, func() bool { return f.entry.Waiting() == 0 })
+	close(free)
+	for range 3 {
+		<-filled
+	}
+	assert.Equal(t, owner.total(), 3)
+}
+
+func TestQueueFull(t *testing.T) {
+	f := newFixture(t, func(c *entryConfig) { c.Queue = queue.Config{Bound: 1} })
+	owner, free := blocking(t)
+	f.own(owner.addr())
+	filled := f.fill(owner)
+	waits := make(chan answer, 1)
+	go func() { waits <- f.call("POST", "/plan/waits", "") }()
+	waitFor(t, func() bool { return f.entry.Waiting() == 1 })
+	a := f.call("POST", "/plan/over", "")
+	assert.Equal(t, a.outcome, outcome.NotRun)
+	assert.Equal(t, a.reason, outcome.Overload)
+	assert.Equal(t, a.status, http.StatusServiceUnavailable)
+	assert.Assert(t, a.header.Get("Retry-After") != "")
+	close(free)
+	for range 3 {
+		<-filled
+	}
+	assert.Equal(t, (<-waits).outcome, outcome.Done)
+}
+
+// TestStopClearsQueue shows that a stop answers what waits with not-run and
+// lets what runs end.
+func TestStopClearsQueue(t *testing.T) {
+	f := newFixture(t, nil)
+	owner, free := blocking(t)
+	f.own(owner.addr())
+	filled := f.fill(owner)
+	waits := make(chan answer, 1)
+	go func() { waits <- f.call("POST", "/plan/waits", "") }()
+	waitFor(t, func() bool { return f.entry.Waiting() == 1 })
+	f.entry.Clear()
+	a := <-waits
+	assert.Equal(t, a.outcome, outcome.NotRun)
+	assert.Equal(t, a.reason, outcome.Stopping)
+	assert.Assert(t, !f.entry.Ready())
+	close(free)
+	for range 3 {
+		assert.Equal(t, (<-filled).outcome, outcome.Done)
+	}
+}
+
+// TestOwnerMovesWhileQueued shows that waiting work follows its shard.
+func TestOwnerMovesWhileQueued(t *testing.T) {
+	f := newFixture(t, nil)
+	old, free := blocking(t)
+	f.own(old.addr())
+	filled := f.fill(old)
+	waits := make(chan answer, 1)
+	go func() { waits <- f.call("POST", "/plan/waits", "") }()
+	waitFor(t, func() bool { return f.entry.Waiting() == 1 })
+	owner := newTarget(t, nil)
+	f.own(owner.addr())
+	assert.Equal(t, (<-waits).outcome, outcome.Done)
+	assert.Equal(t, owner.total(), 1)
+	close(free)
+	for range 3 {
+		assert.Equal(t, (<-filled).outcome, outcome.Done)
+	}
+	assert.Equal(t, old.total(), 3)
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -39,7 +39,7 @@
 	m, reason := v.routes.Find(r)
 	if reason != "" {
 		result := outcome.NotRunFailure{Reason: reason}
-		e.metrics.rejected(m.Caller, reason)
+		e.metrics.rejected(reason)
 		outcome.Write(w, result)
 		return
 	}
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -73,7 +73,7 @@
 	}
 	e.view.Store(v)
 	close(old.replaced)
-	e.sweepLanes(v, now)
+	e.sweepLanes(v)
 }
 
 // readSettings takes the newest settings; it reports false while there are
@@ -198,7 +198,7 @@
 
 // sweepLanes wakes waiting work whose owner changed and closes the lanes of
 // targets that no table names any more.
-func (e *Entry) sweepLanes(v *view, now time.Time) {
+func (e *Entry) sweepLanes(v *view) {
 	used := make(map[*lane]bool, len(e.lanes))
 	for _, s := range v.services {
 		for i := range s.dense {
@@ -217,7 +217,6 @@
 		delete(e.lanes, id)
 		e.log.Info("Target left.", "target", string(id.target))
 	}
-	_ = now
 }
 
 // named reports whether a table of the view still lists the lane's target.
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -41,8 +41,9 @@
 	ticket    queue.Ticket
 	// returned tells that the request held a slot before and did not run.
 	returned bool
-	// resent tells that the request was sent again after an uncertain try.
-	resent bool
+	// uncertain is the reason of an uncertain try, after which the request
+	// was sent again; it can no longer end as not-run.
+	uncertain outcome.Reason
 	// refusedBy is the owner that said it does not own the shard; parks
 	// counts the waits for a newer table.
 	refusedBy owner
@@ -75,16 +76,25 @@
 		v := e.view.Load()
 		switch s := e.try(ctx, v, w).(type) {
 		case finish:
-			return s.result
+			return w.final(s.result)
 		case park:
 			if failure := e.park(ctx, v, w, s.reason); failure != nil {
-				return failure
+				return w.final(failure)
 			}
 		case again:
 		}
 	}
 }
 
+// final keeps not-run true: a look-up that was cut once and then found no
+// owner may have run the first time.
+func (w *work) final(r outcome.Result) outcome.Result {
+	if _, ok := r.(outcome.NotRunFailure); ok && w.uncertain != "" {
+		return outcome.UnknownFailure{Reason: w.uncertain}
+	}
+	return r
+}
+
 // try sends the request to the owner that the view names.
 func (e *Entry) try(ctx context.Context, v *view, w *work) step {
 	s := v.services[w.Service.Name]
@@ -178,8 +188,8 @@
 	case forward.NotSent:
 		return e.judgeNotSent(ctx, w, r.Err)
 	case forward.Uncertain:
-		if w.Route.Idempotent && !w.resent && ctx.Err() == nil && r.Reason != outcome.AnswerLate && e.spend() {
-			w.resent, w.returned = true, true
+		if w.Route.Idempotent && w.uncertain == "" && ctx.Err() == nil && r.Reason != outcome.AnswerLate && e.spend() {
+			w.uncertain, w.returned = r.Reason, true
 			return again{}
 		}
 		return finish{outcome.UnknownFailure{Reason: r.Reason}}
@@ -237,6 +247,9 @@
 	select {
 	case <-v.replaced:
 	case <-timer.C:
+		if !end.After(time.Now()) {
+			return notRun(reason, retryAfter)
+		}
 	case <-ctx.Done():
 		return notRun(outcome.CallerGone, retryAfter)
 	case <-e.stopping:
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -31,7 +31,6 @@
 	bound  io.LimitedReader
 	out    []byte
 	broken bool
-	idleAt time.Time
 }
 
 func newConn(c net.Conn) *conn {
@@ -88,7 +87,7 @@
 	if err != nil {
 		return uncertain(outcome.AnswerCut, err)
 	}
-	defer resp.Body.Close()
+	defer c.end(resp)
 	if ids := resp.Header[target.HeaderRequest]; len(ids) != 1 || ids[0] != r.ID {
 		return Uncertain{Reason: outcome.AnswerWrong, Err: errors.New("forward: answer to another request")}
 	}
@@ -109,6 +108,15 @@
 	return Answered{outcome.Answer{Status: resp.StatusCode, Header: Forwardable(resp.Header), Body: body}}
 }
 
+// end closes the body of an answer. Closing reads what is left of it, so a
+// broken connection is closed first: its target may send nothing more.
+func (c *conn) end(resp *http.Response) {
+	if c.broken {
+		_ = c.Close()
+	}
+	_ = resp.Body.Close()
+}
+
 // readHead reads the final answer's head. An upgrade was never asked for.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	req := &http.Request{Method: method}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -34,7 +35,8 @@
 
 // New returns a registry whose names start with prefix.
 func New(prefix string) *Registry {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	own := prom.NewRegistry() // the library's default is one per process
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: own, Gatherer: own})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         prefix,
 		CachedReporter: reporter,
--- a/internal/route/plain.go
+++ b/internal/route/plain.go
@@ -117,7 +117,7 @@
 // without control characters, and be below the route's key prefix.
 func (c *compiled) key(r *http.Request, inPath string) (string, bool) {
 	var k string
-	ok := true
+	var ok bool
 	switch c.route.KeySource {
 	case settings.KeyInPath:
 		var err error
