--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,77 @@
+package bench
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/key"
+)
+
+func TestDirectorAsksALineAtATime(t *testing.T) {
+	var asked bytes.Buffer
+	d := NewDirector(&asked, strings.NewReader("ok\nfailed\n"))
+	assert.NilError(t, d.Signal("KILL", "host-1", LeadPart))
+	assert.ErrorContains(t, d.Stop("host-2", EntryPart), "failed")
+	assert.ErrorContains(t, d.Ended(), "EOF")
+	assert.Equal(t, asked.String(), "signal KILL lead host-1\nstop entry host-2\nended\n")
+}
+
+func TestReadHosts(t *testing.T) {
+	good := "host-1 zone-a 127.0.0.1:1 127.0.0.1:2 127.0.0.1:3 127.0.0.1:4 127.0.0.1:5\n"
+	tests := map[string]struct {
+		body, finding string
+	}{
+		"good":      {body: good},
+		"two words": {body: good + "host-2 zone-a\n", finding: "hosts:2: has 2 words"},
+		"a name":    {body: strings.Replace(good, "127.0.0.1:3", "localhost:3", 1), finding: `hosts:1: "localhost:3" is not an address`},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "hosts")
+			assert.NilError(t, os.WriteFile(path, []byte(tt.body), 0o600))
+			hosts, err := ReadHosts(path)
+			if tt.finding != "" {
+				assert.ErrorContains(t, err, tt.finding)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, hosts[0].LeadAdmin.String(), "127.0.0.1:5")
+		})
+	}
+}
+
+func TestUsageOfThisProcess(t *testing.T) {
+	ticks, err := ticksOf("42 (a name) with) S 1 2 3 4 5 6 7 8 9 10 250 50 0 0")
+	assert.NilError(t, err)
+	assert.Equal(t, ticks, uint64(300))
+	_, err = ticksOf("nothing")
+	assert.ErrorContains(t, err, "unreadable")
+	assert.Equal(t, residentBytes("Name:\tx\nVmRSS:\t   2048 kB\n"), uint64(2<<20))
+}
+
+func TestImbalanceIsOfTheWorstService(t *testing.T) {
+	before := map[key.Service][]uint64{"balance": {100, 0}, "plan": {0, 0}}
+	after := map[key.Service][]uint64{"balance": {150, 50}, "plan": {30, 10}}
+	assert.Equal(t, imbalance(before, after), 1.5)
+}
+
+func TestScenariosFitTheirLength(t *testing.T) {
+	const longest = 35 * time.Second // with start, warm-up and stop under 50 s
+	seen := make(map[Name]bool)
+	for _, s := range All() {
+		assert.Assert(t, !seen[s.Name], "%s stands twice", s.Name)
+		seen[s.Name] = true
+		assert.Assert(t, s.Length <= longest, "%s", s.Name)
+		last := time.Duration(0)
+		for _, step := range s.Steps {
+			assert.Assert(t, step.At >= last && step.At < s.Length, "%s at %s", s.Name, step.At)
+			last = step.At
+		}
+	}
+}
--- a/internal/bench/process.go
+++ b/internal/bench/process.go
@@ -46,11 +46,11 @@
 	return Usage{CPU: time.Duration(ticks) * clockTick, RSSBytes: residentBytes(string(status))}, nil
 }
 
-// ticksOf returns user and system time; the command's name may hold spaces.
+// ticksOf returns user and system time; the command's name stands in brackets
+// and may itself hold spaces and brackets, as in "(a name) with)".
 func ticksOf(stat string) (uint64, error) {
-	_, rest, found := strings.Cut(stat, ") ")
-	fields := strings.Fields(rest)
-	if !found || len(fields) <= systemField {
+	fields := strings.Fields(stat[strings.LastIndex(stat, ")")+1:])
+	if len(fields) <= systemField {
 		return 0, fmt.Errorf("bench: unreadable process state %q", stat)
 	}
 	user, errUser := strconv.ParseUint(fields[userField], 10, 64)
--- /dev/null
+++ b/internal/load/generator_test.go
@@ -0,0 +1,141 @@
+package load_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/load"
+	"citrontray.example/citrontray/internal/preset"
+	"citrontray.example/citrontray/internal/standin"
+)
+
+// entryFake answers as an entry host would, in the way that a test wants.
+type entryFake struct {
+	mu   sync.Mutex
+	runs map[string]uint32
+	how  func(w http.ResponseWriter, uri string, payload []byte, run func())
+}
+
+// ServeHTTP implements http.Handler.
+func (e *entryFake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/ready" {
+		return
+	}
+	payload, _ := io.ReadAll(r.Body)
+	e.how(w, r.URL.RequestURI(), payload, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.runs[r.URL.Query().Get(standin.OperationParameter)]++
+	})
+}
+
+func (e *entryFake) runsOf(operations []string) ([]uint32, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]uint32, len(operations))
+	for i, operation := range operations {
+		out[i] = e.runs[operation]
+	}
+	return out, nil
+}
+
+func done(w http.ResponseWriter, uri string, payload []byte) {
+	w.Header().Set("Citrontray-Outcome", "done")
+	w.Write(standin.AnswerBody(uri, payload, 0))
+}
+
+func TestGeneratorJudgesAnswers(t *testing.T) {
+	tests := map[string]struct {
+		how  func(w http.ResponseWriter, uri string, payload []byte, run func())
+		fits func(s load.Summary) bool
+	}{
+		"done": {func(w http.ResponseWriter, uri string, payload []byte, run func()) {
+			run()
+			done(w, uri, payload)
+		}, func(s load.Summary) bool { return s.Done == s.Requests && s.Unrun == 0 }},
+		"done without a run": {func(w http.ResponseWriter, uri string, payload []byte, _ func()) {
+			done(w, uri, payload)
+		}, func(s load.Summary) bool { return s.Unrun == s.Requests }},
+		"another's answer": {func(w http.ResponseWriter, _ string, payload []byte, run func()) {
+			run()
+			done(w, "/balance/other", payload)
+		}, func(s load.Summary) bool { return s.Wrong == s.Requests }},
+		"not run": {func(w http.ResponseWriter, _ string, _ []byte, _ func()) {
+			w.Header().Set("Citrontray-Outcome", "not-run")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, func(s load.Summary) bool { return s.NotRun == s.Requests && s.FalseNotRun == 0 }},
+		"not run, yet it ran": {func(w http.ResponseWriter, _ string, _ []byte, run func()) {
+			run()
+			w.Header().Set("Citrontray-Outcome", "not-run")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, func(s load.Summary) bool { return s.FalseNotRun == s.Requests }},
+		"unknown": {func(w http.ResponseWriter, _ string, _ []byte, _ func()) {
+			w.Header().Set("Citrontray-Outcome", "unknown")
+			w.WriteHeader(http.StatusBadGateway)
+		}, func(s load.Summary) bool { return s.Unknown == s.Requests }},
+		"no outcome": {func(w http.ResponseWriter, _ string, _ []byte, _ func()) {
+			w.WriteHeader(http.StatusBadGateway)
+		}, func(s load.Summary) bool { return s.Lost == s.Requests }},
+		"connection cut": {func(http.ResponseWriter, string, []byte, func()) {
+			panic(http.ErrAbortHandler)
+		}, func(s load.Summary) bool { return s.Lost == s.Requests }},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			entry := &entryFake{runs: make(map[string]uint32), how: tt.how}
+			server := httptest.NewServer(entry)
+			defer server.Close()
+			addr := netip.MustParseAddrPort(server.Listener.Addr().String())
+			balancer := load.NewBalancer([]load.EntryHost{{Callers: addr, Admin: addr}})
+			assert.Equal(t, balancer.Refresh(context.Background()), 1)
+
+			g := load.NewGenerator(planOf(t, 0.01), balancer, "t", 1)
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer cancel()
+			assert.NilError(t, g.Run(ctx))
+			summary, err := g.Result().Summarize(time.Now(), entry.runsOf)
+			assert.NilError(t, err)
+			assert.Assert(t, summary.Requests > 0)
+			assert.Assert(t, tt.fits(summary), "%+v", summary.Counts)
+		})
+	}
+}
+
+func planOf(t *testing.T, part float64) load.Plan {
+	t.Helper()
+	p, err := preset.Get(preset.Agency)
+	assert.NilError(t, err)
+	s, err := p.Settings()
+	assert.NilError(t, err)
+	return load.NewPlan(p, s, part)
+}
+
+func TestPlanCoversThePresets(t *testing.T) {
+	for _, name := range preset.All() {
+		t.Run(string(name), func(t *testing.T) {
+			p, err := preset.Get(name)
+			assert.NilError(t, err)
+			s, err := p.Settings()
+			assert.NilError(t, err)
+			plan := load.NewPlan(p, s, 0.5)
+			rate := make(map[key.Service]float64)
+			for _, stream := range plan.Streams {
+				rate[stream.Service] += stream.PerSecond
+			}
+			for _, group := range load.Groups(p, s) {
+				capacity := float64(group.Count*group.Slots) / group.Work.Seconds()
+				assert.Assert(t, rate[group.Service] > 0.49*capacity && rate[group.Service] < 0.51*capacity, "%s", group.Service)
+				assert.Assert(t, group.Slots == 3 && group.Connections >= 110, "%s", group.Service)
+			}
+		})
+	}
+}
