Load reports and the heaviest keys of a stream

Entries report, for each cell, requests and busy time by shard and the heaviest keys by space-saving.

--- /dev/null
+++ b/internal/placement/report.go
@@ -0,0 +1,191 @@
+// Package placement decides which shards move between the targets of a cell so
+// that load stays even, with as few moves as pay for themselves.
+//
+// Load is what the entries measure where requests pass: the time for which a
+// request occupies a slot of its target. The package is pure: the present time
+// is an argument, no function does I/O.
+package placement
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/place"
+)
+
+const (
+	// MaxHot bounds the hot keys of one report.
+	MaxHot = 128
+	// maxReportShards bounds the shards of one report.
+	maxReportShards = 1 << 16
+	// busyUnit is the unit of busy times on the wire.
+	busyUnit = 128 * time.Microsecond
+	// maxPeriod bounds the period of a report.
+	maxPeriod = time.Minute
+	// maxReportBytes bounds the packed shards of one report.
+	maxReportBytes = 1 << 20
+)
+
+// ErrMalformed is returned for a report that can't be read.
+var ErrMalformed = errors.New("placement: malformed report")
+
+// Report is what one entry process saw of one cell's shards in a period.
+type Report struct {
+	Service key.Service
+	Zone    place.Zone // of the cell
+	Period  time.Duration
+	// Shards lists the shards with requests, sorted by Shard.
+	Shards []ShardLoad
+	// Hot lists the heaviest keys that are not solo keys, heaviest first.
+	Hot []HotKey
+}
+
+// ShardLoad is the load of one shard in the period of a report. Busy is the
+// sum of the times for which its requests occupied a slot.
+type ShardLoad struct {
+	Shard    key.Shard
+	Requests uint32
+	Busy     time.Duration
+}
+
+// HotKey is the load of one key. Busy may be too high by up to Error.
+type HotKey struct {
+	Hash  key.Hash
+	Busy  time.Duration
+	Error time.Duration
+}
+
+type wireReport struct {
+	_        struct{} `cbor:",toarray"`
+	Service  string
+	Zone     string
+	PeriodMS uint32
+	Shards   []byte
+	Hot      []wireHot
+}
+
+type wireHot struct {
+	_     struct{} `cbor:",toarray"`
+	Hash  uint64
+	Busy  uint64
+	Error uint64
+}
+
+var reportDecoder = mustDecoder()
+
+func mustDecoder() cbor.DecMode {
+	const maxNesting = 4
+	mode, err := cbor.DecOptions{MaxArrayElements: MaxHot, MaxNestedLevels: maxNesting}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}
+
+// EncodeReport returns the body of a load report. Hot keys past MaxHot are
+// left out.
+func EncodeReport(r Report) ([]byte, error) {
+	w := wireReport{
+		Service:  string(r.Service),
+		Zone:     string(r.Zone),
+		PeriodMS: uint32(min(r.Period, maxPeriod).Milliseconds()),
+		Shards:   packShards(r.Shards),
+	}
+	for _, h := range r.Hot[:min(len(r.Hot), MaxHot)] {
+		w.Hot = append(w.Hot, wireHot{Hash: uint64(h.Hash), Busy: units(h.Busy), Error: units(h.Error)})
+	}
+	data, err := cbor.Marshal(w)
+	if err != nil {
+		return nil, fmt.Errorf("placement: encode report: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeReport reads a load report.
+func DecodeReport(data []byte) (Report, error) {
+	var w wireReport
+	if err := reportDecoder.Unmarshal(data, &w); err != nil {
+		return Report{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	r := Report{
+		Service: key.Service(w.Service),
+		Zone:    place.Zone(w.Zone),
+		Period:  time.Duration(w.PeriodMS) * time.Millisecond,
+	}
+	if r.Period <= 0 || r.Period > maxPeriod {
+		return Report{}, fmt.Errorf("%w: period %v", ErrMalformed, r.Period)
+	}
+	shards, err := unpackShards(w.Shards)
+	if err != nil {
+		return Report{}, err
+	}
+	r.Shards = shards
+	for _, h := range w.Hot {
+		r.Hot = append(r.Hot, HotKey{Hash: key.Hash(h.Hash), Busy: busy(h.Busy), Error: busy(h.Error)})
+	}
+	return r, nil
+}
+
+// units rounds to the nearest unit; what took any time counts one at least.
+func units(d time.Duration) uint64 {
+	if d <= 0 {
+		return 0
+	}
+	return max(uint64((d+busyUnit/2)/busyUnit), 1)
+}
+
+// busy returns at most a period's worth of very many requests, so that sums of
+// reports can't overflow.
+func busy(units uint64) time.Duration {
+	const most = 1 << 30
+	return time.Duration(min(units, most)) * busyUnit
+}
+
+// packShards writes, for each shard, the gap to the one before, the requests
+// and the busy time, as variable-length numbers: three or four bytes.
+func packShards(shards []ShardLoad) []byte {
+	var out []byte
+	next := key.Shard(0)
+	for _, s := range shards[:min(len(shards), maxReportShards)] {
+		out = binary.AppendUvarint(out, uint64(s.Shard-next))
+		out = binary.AppendUvarint(out, uint64(s.Requests))
+		out = binary.AppendUvarint(out, units(s.Busy))
+		next = s.Shard + 1
+	}
+	return out
+}
+
+func unpackShards(data []byte) ([]ShardLoad, error) {
+	if len(data) > maxReportBytes {
+		return nil, fmt.Errorf("%w: %d bytes of shards", ErrMalformed, len(data))
+	}
+	var out []ShardLoad
+	next := uint64(0)
+	for len(data) > 0 {
+		var field [3]uint64
+		for i := range field {
+			value, size := binary.Uvarint(data)
+			if size <= 0 {
+				return nil, fmt.Errorf("%w: shards are cut off", ErrMalformed)
+			}
+			field[i], data = value, data[size:]
+		}
+		shard := next + field[0]
+		if field[0] > maxShard || shard > maxShard || field[1] > maxRequests || len(out) >= maxReportShards {
+			return nil, fmt.Errorf("%w: shard %d", ErrMalformed, shard)
+		}
+		out = append(out, ShardLoad{Shard: key.Shard(shard), Requests: uint32(field[1]), Busy: busy(field[2])})
+		next = shard + 1
+	}
+	return out, nil
+}
+
+const (
+	maxShard    = 1<<32 - 1
+	maxRequests = 1<<32 - 1
+)
--- /dev/null
+++ b/internal/placement/topk/topk.go
@@ -0,0 +1,107 @@
+// Package topk finds the heaviest keys of a stream in bounded memory, by the
+// space-saving algorithm (Metwally, Agrawal, El Abbadi: Efficient Computation
+// of Frequent and Top-k Elements in Data Streams, ICDT 2005).
+package topk
+
+import (
+	"cmp"
+	"slices"
+
+	"citrontray.example/citrontray/internal/key"
+)
+
+// Item is one key of a sketch. The key's true weight lies between
+// Weight - Error and Weight.
+type Item struct {
+	Hash   key.Hash
+	Weight uint64
+	Error  uint64
+}
+
+// Sketch holds a bounded number of keys: any key with more than the total
+// weight divided by the capacity is among them. Not safe for concurrent use.
+type Sketch struct {
+	// heap is a binary heap with the lightest item first.
+	heap  []Item
+	index map[key.Hash]int // into heap
+	cap   int
+}
+
+// New returns an empty sketch of at most capacity keys, at least one.
+func New(capacity int) *Sketch {
+	capacity = max(capacity, 1)
+	return &Sketch{
+		heap:  make([]Item, 0, capacity),
+		index: make(map[key.Hash]int, capacity),
+		cap:   capacity,
+	}
+}
+
+// Add counts weight for a key.
+func (s *Sketch) Add(h key.Hash, weight uint64) {
+	if i, ok := s.index[h]; ok {
+		s.heap[i].Weight += weight
+		s.down(i)
+		return
+	}
+	if len(s.heap) < s.cap {
+		s.heap = append(s.heap, Item{Hash: h, Weight: weight})
+		s.index[h] = len(s.heap) - 1
+		s.up(len(s.heap) - 1)
+		return
+	}
+	lightest := s.heap[0]
+	delete(s.index, lightest.Hash)
+	s.heap[0] = Item{Hash: h, Weight: lightest.Weight + weight, Error: lightest.Weight}
+	s.index[h] = 0
+	s.down(0)
+}
+
+// Top returns the n heaviest keys, heaviest first.
+func (s *Sketch) Top(n int) []Item {
+	out := slices.Clone(s.heap)
+	slices.SortFunc(out, func(a, b Item) int {
+		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Hash, b.Hash))
+	})
+	return out[:min(n, len(out))]
+}
+
+// Reset forgets all keys and keeps the memory.
+func (s *Sketch) Reset() {
+	s.heap = s.heap[:0]
+	clear(s.index)
+}
+
+func (s *Sketch) up(i int) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if s.heap[parent].Weight <= s.heap[i].Weight {
+			return
+		}
+		s.swap(i, parent)
+		i = parent
+	}
+}
+
+func (s *Sketch) down(i int) {
+	for {
+		child := 2*i + 1
+		if child >= len(s.heap) {
+			return
+		}
+		if right := child + 1; right < len(s.heap) && s.heap[right].Weight < s.heap[child].Weight {
+			child = right
+		}
+		if s.heap[i].Weight <= s.heap[child].Weight {
+			return
+		}
+		s.swap(i, child)
+		i = child
+	}
+}
+
+func (s *Sketch) swap(i, j int) {
+	s.heap[i], s.heap[j] = s.heap[j], s.heap[i]
+	s.index[s.heap[i].Hash] = i
+	s.index[s.heap[j].Hash] = j
+}
