--- /dev/null
+++ b/cmd/citrontray/main.go
@@ -0,0 +1,33 @@
+// Command citrontray is the operators' command line.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"os/user"
+	"syscall"
+	"time"
+
+	"citrontray.example/citrontray/internal/command"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	shell := &command.Shell{
+		In: os.Stdin, Out: os.Stdout, Err: os.Stderr,
+		Getenv: os.Getenv, Now: time.Now, User: userName(),
+	}
+	return command.Run(ctx, shell, os.Args[1:])
+}
+
+// userName returns the name of the person at this machine.
+func userName() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/command/read.go
@@ -0,0 +1,264 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"citrontray.example/citrontray/internal/operator"
+	"citrontray.example/citrontray/internal/settings"
+)
+
+// watchInterval is the pause between two reads of watch.
+const watchInterval = time.Second
+
+// wireSettings is the JSON of get.
+type wireSettings struct {
+	Revision uint64                    `json:"revision"`
+	Settings map[string]map[string]any `json:"settings"`
+}
+
+// wireOutcome is the JSON of the commands that write.
+type wireOutcome struct {
+	Accepted bool       `json:"accepted"`
+	Revision uint64     `json:"revision"`
+	Changes  []wireDiff `json:"changes"`
+}
+
+type wireDiff struct {
+	Path   string `json:"path"`
+	Before string `json:"before"`
+	After  string `json:"after"`
+}
+
+type wireWrite struct {
+	Revision uint64          `json:"revision"`
+	ID       string          `json:"id"`
+	At       time.Time       `json:"at"`
+	By       string          `json:"by"`
+	Reason   string          `json:"reason"`
+	Paths    []settings.Path `json:"paths"`
+}
+
+// printJSON prints v as indented JSON.
+func (c *command) printJSON(v any) error {
+	e := json.NewEncoder(c.Out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// printOutcome prints an accepted write or a dry run.
+func (c *command) printOutcome(out operator.Outcome, dryRun bool) error {
+	if c.output == outputJSON {
+		w := wireOutcome{Accepted: !dryRun, Revision: out.Number, Changes: []wireDiff{}}
+		for _, d := range out.Differences {
+			w.Changes = append(w.Changes, wireDiff{string(d.Path), d.Before, d.After})
+		}
+		return c.printJSON(w)
+	}
+	for _, d := range out.Differences {
+		c.printDifference(d)
+	}
+	switch {
+	case dryRun && len(out.Differences) == 0:
+		fmt.Fprintln(c.Out, "no difference")
+	case dryRun:
+		fmt.Fprintf(c.Out, "%d settings would change\n", len(out.Differences))
+	default:
+		fmt.Fprintf(c.Out, "accepted as revision %d, %d settings changed\n", out.Number, len(out.Differences))
+	}
+	return nil
+}
+
+// printDifference prints the lines of one path that go and come.
+func (c *command) printDifference(d settings.Difference) {
+	before, after := strings.SplitAfter(d.Before, "\n"), strings.SplitAfter(d.After, "\n")
+	kept := make(map[string]bool)
+	for _, line := range after {
+		kept[line] = true
+	}
+	had := make(map[string]bool)
+	for _, line := range before {
+		had[line] = true
+		if line != "" && !kept[line] {
+			fmt.Fprint(c.Out, "- ", line)
+		}
+	}
+	for _, line := range after {
+		switch {
+		case line == "":
+		case !had[line]:
+			fmt.Fprint(c.Out, "+ ", line)
+		case strings.HasPrefix(line, string(d.Path)):
+			fmt.Fprint(c.Out, "  ", line)
+		}
+	}
+}
+
+func getCommand() *command {
+	return &command{
+		name: "get", usage: "[PATH]",
+		synopsis: "print the settings in force, or those at and below a path, as a settings file",
+		run: func(ctx context.Context, c *command, args []string) error {
+			if err := want(args, 0, 1, c.usage); err != nil {
+				return err
+			}
+			view, err := c.read(ctx)
+			if err != nil {
+				return err
+			}
+			var path settings.Path
+			if len(args) == 1 {
+				path = settings.Path(strings.TrimSuffix(args[0], "/"))
+			}
+			return c.printItems(view, path)
+		},
+	}
+}
+
+// read reads the settings in force.
+func (c *command) read(ctx context.Context) (operator.View, error) {
+	desk, err := c.desk()
+	if err != nil {
+		return operator.View{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	return desk.Read(ctx)
+}
+
+func (c *command) printItems(view operator.View, path settings.Path) error {
+	var items []settings.Item
+	for _, item := range view.Items {
+		if path.Covers(item.Path) {
+			items = append(items, item)
+		}
+	}
+	if len(items) == 0 && path != "" {
+		return fmt.Errorf("there is no setting at or below %s", path)
+	}
+	if c.output != outputJSON {
+		fmt.Fprintf(c.Out, "# revision %d\n%s", view.Number, settings.Format(items))
+		return nil
+	}
+	out := wireSettings{Revision: view.Number, Settings: make(map[string]map[string]any)}
+	for _, item := range items {
+		fields := make(map[string]any)
+		for _, f := range item.Fields {
+			if f.List {
+				fields[f.Name] = f.Values
+				continue
+			}
+			fields[f.Name] = f.Values[0]
+		}
+		out.Settings[string(item.Path)] = fields
+	}
+	return c.printJSON(out)
+}
+
+func historyCommand() *command {
+	return &command{
+		name: "history", usage: "[PATH]",
+		synopsis: "list the accepted writes, newest last: revision, time, who, reason, paths",
+		run: func(ctx context.Context, c *command, args []string) error {
+			if err := want(args, 0, 1, c.usage); err != nil {
+				return err
+			}
+			view, err := c.read(ctx)
+			if err != nil {
+				return err
+			}
+			var path settings.Path
+			if len(args) == 1 {
+				path = settings.Path(args[0])
+			}
+			return c.printHistory(view.History, path)
+		},
+	}
+}
+
+func (c *command) printHistory(history []settings.Write, path settings.Path) error {
+	out := []wireWrite{}
+	for _, w := range history {
+		var paths []settings.Path
+		for _, p := range w.Paths {
+			if path.Covers(p) {
+				paths = append(paths, p)
+			}
+		}
+		if len(paths) > 0 {
+			out = append(out, wireWrite{w.Number, w.ID, w.At, w.By, w.Reason, paths})
+		}
+	}
+	if c.output == outputJSON {
+		return c.printJSON(out)
+	}
+	for _, w := range out {
+		c.printWrite(w)
+	}
+	return nil
+}
+
+// printWrite prints one accepted write.
+func (c *command) printWrite(w wireWrite) {
+	fmt.Fprintf(c.Out, "%d  %s  %s", w.Revision, w.At.Format(time.RFC3339), w.By)
+	if w.Reason != "" {
+		fmt.Fprintf(c.Out, "  %s", w.Reason)
+	}
+	fmt.Fprintln(c.Out)
+	for _, p := range w.Paths {
+		fmt.Fprintf(c.Out, "    %s\n", p)
+	}
+}
+
+func watchCommand() *command {
+	return &command{
+		name: "watch", usage: "[PATH]",
+		synopsis: "print each accepted write as it comes, until interrupted",
+		run: func(ctx context.Context, c *command, args []string) error {
+			if err := want(args, 0, 1, c.usage); err != nil {
+				return err
+			}
+			var path settings.Path
+			if len(args) == 1 {
+				path = settings.Path(args[0])
+			}
+			return c.watch(ctx, path)
+		},
+	}
+}
+
+// watch prints accepted writes below path until ctx ends. A store that does
+// not answer for a while is waited for.
+func (c *command) watch(ctx context.Context, path settings.Path) error {
+	view, err := c.read(ctx)
+	if err != nil {
+		return err
+	}
+	seen := view.Number
+	tick := time.NewTicker(watchInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		view, err := c.read(ctx)
+		if err != nil || view.Number <= seen {
+			continue
+		}
+		var news []settings.Write
+		for _, w := range view.History {
+			if w.Number > seen {
+				news = append(news, w)
+			}
+		}
+		if err := c.printHistory(news, path); err != nil {
+			return err
+		}
+		seen = view.Number
+	}
+}
--- /dev/null
+++ b/internal/command/status.go
@@ -0,0 +1,255 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"text/tabwriter"
+	"time"
+
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/platform"
+	"citrontray.example/citrontray/internal/status"
+)
+
+// maxDoubtLines and maxMoveLines bound what status and explain print; JSON has all.
+const (
+	maxDoubtLines = 10
+	maxMoveLines  = 10
+)
+
+// wireAnswer is the JSON of status: one daemon's report, or why there is none.
+type wireAnswer struct {
+	Addr   netip.AddrPort `json:"addr"`
+	Error  string         `json:"error,omitempty"`
+	Report *status.Report `json:"report,omitempty"`
+}
+
+// collect asks the daemons; it fails where none answers.
+func (c *command) collect(ctx context.Context, q status.Query) ([]status.Answer, error) {
+	if len(c.hostAddrs) == 0 {
+		return nil, inputf("--hosts", "is required: the admin addresses of the daemons")
+	}
+	answers := status.Collect(ctx, c.hostAddrs, q, c.timeout)
+	for _, a := range answers {
+		if a.Err == nil {
+			return answers, nil
+		}
+	}
+	return nil, fmt.Errorf("%w: no daemon answers: %w", platform.ErrUnavailable, answers[0].Err)
+}
+
+func toWireAnswers(answers []status.Answer) []wireAnswer {
+	out := make([]wireAnswer, 0, len(answers))
+	for _, a := range answers {
+		w := wireAnswer{Addr: a.Addr}
+		if a.Err != nil {
+			w.Error = a.Err.Error()
+		} else {
+			w.Report = &a.Report
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+func statusCommand() *command {
+	return &command{
+		name: "status", usage: "",
+		synopsis: "show hosts, settings in force, cells with their leads, shards in doubt",
+		run: func(ctx context.Context, c *command, args []string) error {
+			if err := want(args, 0, 0, "no arguments"); err != nil {
+				return err
+			}
+			answers, err := c.collect(ctx, status.Query{})
+			if err != nil {
+				return err
+			}
+			if c.output == outputJSON {
+				return c.printJSON(toWireAnswers(answers))
+			}
+			c.printHosts(answers)
+			cells := status.CellsOf(answers)
+			c.printCells(cells)
+			c.printDoubts(cells)
+			return nil
+		},
+	}
+}
+
+// table returns a writer of aligned columns, which its caller flushes.
+func (c *command) table() *tabwriter.Writer {
+	const padding = 2
+	return tabwriter.NewWriter(c.Out, 0, 0, padding, ' ', 0)
+}
+
+// printHosts prints a line for each daemon.
+func (c *command) printHosts(answers []status.Answer) {
+	newest := uint64(0)
+	for _, a := range answers {
+		newest = max(newest, a.Report.Settings.Number)
+	}
+	t := c.table()
+	fmt.Fprintln(t, "HOST\tZONE\tROLE\tSETTINGS\tSINCE\tSTORE\tSTATE")
+	for _, a := range answers {
+		r := a.Report
+		if a.Err != nil {
+			fmt.Fprintf(t, "%s\t-\t-\t-\t-\t-\tno answer\n", a.Addr)
+			continue
+		}
+		number := fmt.Sprint(r.Settings.Number)
+		if r.Settings.Number < newest {
+			number += " old"
+		}
+		state := "ready"
+		if !r.Ready {
+			state = "not ready"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", r.Host, r.Zone, r.Role, number,
+			c.ago(r.Settings.Since), c.ago(r.Store), state)
+	}
+	_ = t.Flush()
+}
+
+// ago prints how long ago a time was.
+func (c *command) ago(at time.Time) string {
+	if at.IsZero() {
+		return "-"
+	}
+	d := c.Now().Sub(at)
+	switch {
+	case d < time.Minute:
+		return d.Round(time.Second).String()
+	case d < time.Hour:
+		return fmt.Sprintf("%dm", int(d.Minutes()))
+	case d < 48*time.Hour:
+		return fmt.Sprintf("%dh", int(d.Hours()))
+	}
+	return fmt.Sprintf("%dd", int(d.Hours()/24))
+}
+
+// printCells prints a line for each cell.
+func (c *command) printCells(cells []status.Cell) {
+	if len(cells) == 0 {
+		return
+	}
+	t := c.table()
+	fmt.Fprintln(t, "\nSERVICE\tZONE\tLEAD\tTERM\tSHARDS\tOWNED\tDOUBT\tMOVING\tSOLO")
+	for _, x := range cells {
+		lead := x.Lead
+		if lead == "" {
+			lead = "-"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\n", x.Service, x.Zone, lead, x.Term,
+			x.Shards, x.Owned, len(x.Doubts), x.Moving, x.Solos)
+	}
+	_ = t.Flush()
+	for _, x := range cells {
+		for _, m := range x.Members {
+			if m.Leaving {
+				fmt.Fprintf(c.Out, "leaving: %s of %s, %d shards left\n", m.Target, x.Service, m.Shards)
+			}
+		}
+	}
+}
+
+// printDoubts prints the shards that can get no owner, and why.
+func (c *command) printDoubts(cells []status.Cell) {
+	left := maxDoubtLines
+	for _, x := range cells {
+		for _, d := range x.Doubts {
+			if left == 0 {
+				fmt.Fprintln(c.Out, "more in doubt: see --output json")
+				return
+			}
+			left--
+			fmt.Fprintf(c.Out, "in doubt: %s shard %d for %s: %s\n", x.Service, d.Shard, c.ago(d.Since), d.Why)
+		}
+	}
+}
+
+func explainCommand() *command {
+	return &command{
+		name: "explain", usage: "SERVICE KEY",
+		synopsis: "tell where a key is, since when, and the last moves with their evidence",
+		run: func(ctx context.Context, c *command, args []string) error {
+			if err := want(args, 2, 2, c.usage); err != nil {
+				return err
+			}
+			answers, err := c.collect(ctx, status.Query{Service: key.Service(args[0]), Key: args[1]})
+			if err != nil {
+				return err
+			}
+			found := explanations(answers)
+			if len(found) == 0 {
+				return errors.New("no daemon that answered knows a cell with this key")
+			}
+			if c.output == outputJSON {
+				return c.printJSON(toWireAnswers(found))
+			}
+			c.printKey(found)
+			return nil
+		},
+	}
+}
+
+// explanations keeps the answers that know the key, the newest first.
+func explanations(answers []status.Answer) []status.Answer {
+	var out []status.Answer
+	for _, a := range answers {
+		if a.Err != nil || a.Report.Key == nil {
+			continue
+		}
+		out = append(out, a)
+		for i := len(out) - 1; i > 0 && newerKey(out[i].Report.Key, out[i-1].Report.Key); i-- {
+			out[i], out[i-1] = out[i-1], out[i]
+		}
+	}
+	return out
+}
+
+func newerKey(a, b *status.Key) bool {
+	if a.Epoch != b.Epoch {
+		return a.Epoch > b.Epoch
+	}
+	if a.Term != b.Term {
+		return a.Term > b.Term
+	}
+	return len(a.Moves) > len(b.Moves)
+}
+
+// printKey prints the newest explanation and who sees it otherwise.
+func (c *command) printKey(found []status.Answer) {
+	k := found[0].Report.Key
+	what := fmt.Sprintf("shard %d", k.Shard)
+	if k.Solo {
+		what += ", a shard of its own"
+	}
+	fmt.Fprintf(c.Out, "%s %s: %s, in the custody of %s\n", k.Service, k.Key, what, k.Zone)
+	owner := k.Owner
+	if owner == "" {
+		owner = "none now: " + k.Why
+	}
+	fmt.Fprintf(c.Out, "owner: %s\nepoch: %d, term %d\n", owner, k.Epoch, k.Term)
+	if k.Standby != "" {
+		fmt.Fprintf(c.Out, "standby: %s\n", k.Standby)
+	}
+	moves := k.Moves[max(0, len(k.Moves)-maxMoveLines):]
+	for _, m := range moves {
+		fmt.Fprintf(c.Out, "moved %s ago: %s to %s, epoch %d, %s\n", c.ago(m.At), dash(m.From), dash(m.To), m.Epoch, m.Evidence)
+	}
+	for _, a := range found[1:] {
+		if o := a.Report.Key; o.Owner != k.Owner {
+			fmt.Fprintf(c.Out, "%s (%s) knows %s at epoch %d, term %d\n", a.Report.Host, a.Report.Role, dash(o.Owner), o.Epoch, o.Term)
+		}
+	}
+}
+
+// dash stands for a name that is not there.
+func dash(s string) string {
+	if s == "" {
+		return "none"
+	}
+	return s
+}
--- /dev/null
+++ b/internal/command/write.go
@@ -0,0 +1,255 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/google/uuid"
+
+	"citrontray.example/citrontray/internal/operator"
+	"citrontray.example/citrontray/internal/settings"
+)
+
+// writing holds the flags of commands that write.
+type writing struct {
+	reason string
+	dryRun bool
+	expect uint64
+	file   string
+}
+
+func (w *writing) setFlags(f *flag.FlagSet) {
+	f.StringVar(&w.reason, "reason", "", "why, for the history")
+	f.BoolVar(&w.dryRun, "dry-run", false, "check and show the difference, write nothing")
+	f.Uint64Var(&w.expect, "expect", 0, "number of the revision that you saw; the write conflicts where a path of it changed since")
+}
+
+func (w *writing) setFile(f *flag.FlagSet) {
+	f.StringVar(&w.file, "f", "", "settings file, - for the standard input")
+}
+
+// readFile reads the settings file.
+func (w *writing) readFile(c *command) ([]byte, error) {
+	switch w.file {
+	case "":
+		return nil, inputf("-f", "is required")
+	case "-":
+		return io.ReadAll(io.LimitReader(c.In, settings.MaxFileBytes+1))
+	}
+	file, err := os.ReadFile(w.file)
+	if err != nil {
+		return nil, inputf("-f", "%s", err.Error())
+	}
+	return file, nil
+}
+
+// send sends an order and prints its outcome.
+func (w *writing) send(ctx context.Context, c *command, order operator.Order) error {
+	desk, err := c.desk()
+	if err != nil {
+		return err
+	}
+	return w.sendTo(ctx, c, desk, order)
+}
+
+func (w *writing) sendTo(ctx context.Context, c *command, desk operator.Desk, order operator.Order) error {
+	order.ID, order.Reason, order.DryRun = uuid.NewString(), w.reason, w.dryRun
+	if w.expect > 0 {
+		order.Expect = w.expect
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	out, err := desk.Write(ctx, order)
+	if err != nil {
+		return err
+	}
+	return c.printOutcome(out, w.dryRun)
+}
+
+func applyCommand() *command {
+	var w writing
+	return &command{
+		name: "apply", usage: "-f FILE [--dry-run] [--reason TEXT]",
+		synopsis: "make the settings of a file accepted, whole or not at all",
+		flags:    func(f *flag.FlagSet) { w.setFlags(f); w.setFile(f) },
+		run: func(ctx context.Context, c *command, args []string) error {
+			if err := want(args, 0, 0, c.usage); err != nil {
+				return err
+			}
+			file, err := w.readFile(c)
+			if err != nil {
+				return err
+			}
+			// The form is checked before anything is sent.
+			if _, err := settings.Parse(file); err != nil {
+				return err
+			}
+			return w.send(ctx, c, operator.Order{File: file})
+		},
+	}
+}
+
+func diffCommand() *command {
+	w := writing{dryRun: true}
+	return &command{
+		name: "diff", usage: "-f FILE",
+		synopsis: "show what apply would change, and write nothing",
+		flags:    w.setFile,
+		run: func(ctx context.Context, c *command, args []string) error {
+			if err := want(args, 0, 0, c.usage); err != nil {
+				return err
+			}
+			file, err := w.readFile(c)
+			if err != nil {
+				return err
+			}
+			return w.send(ctx, c, operator.Order{File: file})
+		},
+	}
+}
+
+func setCommand() *command {
+	var w writing
+	return &command{
+		name: "set", usage: "PATH FIELD=VALUE... [--reason TEXT]",
+		synopsis: "change fields of one setting, or make it; a list is written with commas, FIELD= takes a field out",
+		flags:    w.setFlags,
+		run: func(ctx context.Context, c *command, args []string) error {
+			if err := want(args, 2, -1, c.usage); err != nil {
+				return err
+			}
+			desk, err := c.desk()
+			if err != nil {
+				return err
+			}
+			view, err := desk.Read(ctx)
+			if err != nil {
+				return err
+			}
+			item, err := merged(view, settings.Path(args[0]), args[1:])
+			if err != nil {
+				return err
+			}
+			order := operator.Order{File: []byte(settings.Format([]settings.Item{item})), Expect: view.Number}
+			return w.sendTo(ctx, c, desk, order)
+		},
+	}
+}
+
+// merged returns the item at path with the assignments made.
+func merged(view operator.View, path settings.Path, assignments []string) (settings.Item, error) {
+	item := settings.Item{Path: path}
+	if i := slices.IndexFunc(view.Items, func(i settings.Item) bool { return i.Path == path }); i >= 0 {
+		item.Fields = slices.Clone(view.Items[i].Fields)
+	}
+	for _, a := range assignments {
+		name, value, ok := strings.Cut(a, "=")
+		if !ok {
+			return item, inputf(a, "is not FIELD=VALUE")
+		}
+		item.Fields = slices.DeleteFunc(item.Fields, func(f settings.Field) bool { return f.Name == name })
+		if value == "" {
+			continue
+		}
+		field := settings.Field{Name: name, Values: []string{value}}
+		if settings.IsList(path, name) {
+			field.List, field.Values = true, strings.Split(value, ",")
+		}
+		item.Fields = append(item.Fields, field)
+	}
+	return item, nil
+}
+
+func deleteCommand() *command {
+	var w writing
+	return &command{
+		name: "delete", usage: "PATH... [--reason TEXT]",
+		synopsis: "take settings out, all of them or none",
+		flags:    w.setFlags,
+		run: func(ctx context.Context, c *command, args []string) error {
+			if err := want(args, 1, -1, c.usage); err != nil {
+				return err
+			}
+			return w.send(ctx, c, operator.Order{File: deletions(args)})
+		},
+	}
+}
+
+// deletions returns a settings file that deletes the paths.
+func deletions(paths []string) []byte {
+	var b strings.Builder
+	for _, p := range paths {
+		fmt.Fprintf(&b, "%s: null\n", strconv.Quote(p))
+	}
+	return []byte(b.String())
+}
+
+func rollbackCommand() *command {
+	var w writing
+	return &command{
+		name: "rollback", usage: "REVISION [--dry-run] [--reason TEXT]",
+		synopsis: "make the values of an earlier revision accepted again, as a new revision",
+		flags:    w.setFlags,
+		run: func(ctx context.Context, c *command, args []string) error {
+			if err := want(args, 1, 1, c.usage); err != nil {
+				return err
+			}
+			number, err := strconv.ParseUint(args[0], 10, 64)
+			if err != nil || number == 0 {
+				return inputf("REVISION", "%q is not the number of a revision", args[0])
+			}
+			if w.reason == "" {
+				w.reason = "rollback to " + args[0]
+			}
+			return w.send(ctx, c, operator.Order{Rollback: number})
+		},
+	}
+}
+
+// mark is a command that sets or deletes one of the platform's declarations.
+type mark struct {
+	writing
+	kind   string // drains or losses
+	remove bool
+}
+
+// markCommand makes drain, undrain, lost and found.
+func markCommand(name, synopsis, kind string, remove bool) *command {
+	m := mark{kind: kind, remove: remove}
+	usage := "target|zone NAME"
+	if kind == "losses" {
+		usage = "target|host|zone NAME"
+	}
+	return &command{
+		name: name, synopsis: synopsis, usage: usage + " --reason TEXT",
+		flags: m.setFlags,
+		run: func(ctx context.Context, c *command, args []string) error {
+			if err := want(args, 2, 2, c.usage); err != nil {
+				return err
+			}
+			return m.run(ctx, c, args[0], args[1])
+		},
+	}
+}
+
+func (m *mark) run(ctx context.Context, c *command, kind, name string) error {
+	path := "platform/" + m.kind + "/" + kind + "s/" + name
+	if m.remove {
+		return m.send(ctx, c, operator.Order{File: deletions([]string{path})})
+	}
+	if m.reason == "" {
+		return inputf("--reason", "is required: others must know why")
+	}
+	item := settings.Item{Path: settings.Path(path)}
+	item.Fields = append(item.Fields, settings.Field{Name: "reason", Values: []string{m.reason}})
+	if m.kind == "losses" {
+		item.Fields = append(item.Fields, settings.Field{Name: "by", Values: []string{c.User}})
+	}
+	return m.send(ctx, c, operator.Order{File: []byte(settings.Format([]settings.Item{item}))})
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,158 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"citrontray.example/citrontray/internal/platform"
+	"citrontray.example/citrontray/internal/settings"
+)
+
+// writeTimeout bounds how long a write waits for a lost answer to be resolved.
+const writeTimeout = 10 * time.Second
+
+// bootstrapName is how the first operator stands in the history.
+const bootstrapName = "bootstrap"
+
+// ServerConfig sets up a Server.
+type ServerConfig struct {
+	Store platform.Store
+	// Applied is read where the store is out; it may be nil.
+	Applied *settings.Applied
+	// Bootstrap is the hash of the credential that may write everything for
+	// as long as the settings hold no delegation below platform. Zero: none.
+	Bootstrap [32]byte
+	Log       *slog.Logger
+}
+
+// Server answers the operators' API.
+type Server struct {
+	config    ServerConfig
+	committer *settings.Committer
+}
+
+// NewServer returns a server.
+func NewServer(config ServerConfig) *Server {
+	return &Server{config: config, committer: settings.NewCommitter(config.Store)}
+}
+
+// Register adds the API's routes to r.
+func (s *Server) Register(r *mux.Router) {
+	r.HandleFunc(pathSettings, s.read).Methods(http.MethodGet)
+	r.HandleFunc(pathSettings, s.write).Methods(http.MethodPost)
+}
+
+// read answers with what the bearer may see.
+func (s *Server) read(w http.ResponseWriter, r *http.Request) {
+	current, err := s.committer.Load(r.Context())
+	if err != nil {
+		if current = s.local(); current == nil {
+			answerError(w, err)
+			return
+		}
+	}
+	who, err := s.identify(current, bearer(r))
+	if err != nil {
+		answerError(w, err)
+		return
+	}
+	answer(w, http.StatusOK, toWireView(visible(viewOf(current), who)))
+}
+
+// local returns the settings in force in this process, or nil.
+func (s *Server) local() *settings.Settings {
+	if s.config.Applied == nil {
+		return nil
+	}
+	return s.config.Applied.Current()
+}
+
+// write commits one order in the bearer's name.
+func (s *Server) write(w http.ResponseWriter, r *http.Request) {
+	credential := bearer(r)
+	var in wireOrder
+	body := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes))
+	if err := body.Decode(&in); err != nil {
+		answer(w, http.StatusUnprocessableEntity, wireError{Code: codeFindings, Text: "body is not an order"})
+		return
+	}
+	order := Order{ID: in.ID, File: []byte(in.File), Rollback: in.Rollback, Expect: in.Expect, Reason: in.Reason, DryRun: in.DryRun}
+	// The write goes on where the operator's connection ends: its outcome
+	// stands in the history, under the order's id.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), writeTimeout)
+	defer cancel()
+	out, err := commit(ctx, s.committer, order, func(current *settings.Settings) (writer, error) {
+		return s.identify(current, credential)
+	})
+	if err != nil {
+		s.config.Log.Info("write refused", slog.String("id", in.ID), slog.String("error", err.Error()))
+		answerError(w, err)
+		return
+	}
+	if !in.DryRun {
+		s.config.Log.Info("write accepted", slog.String("id", in.ID), slog.Uint64("number", out.Number))
+	}
+	answer(w, http.StatusOK, toWireOutcome(out))
+}
+
+// identify finds whose credential it is in the settings in force.
+func (s *Server) identify(current *settings.Settings, credential string) (writer, error) {
+	if credential == "" {
+		return writer{}, &DeniedError{Text: "no credential"}
+	}
+	if d, ok := current.Operator(credential); ok {
+		return writer{name: d.Operator, below: d.Below}, nil
+	}
+	if s.config.Bootstrap != [32]byte{} && settings.HashCredential(credential) == s.config.Bootstrap && !current.Delegated() {
+		return writer{name: bootstrapName, below: []settings.Path{""}}, nil
+	}
+	return writer{}, &DeniedError{Text: "unknown credential"}
+}
+
+// visible keeps what lies below the subtrees of who.
+func visible(v View, who writer) View {
+	v.Items = slices.DeleteFunc(slices.Clone(v.Items), func(i settings.Item) bool { return !who.may(i.Path) })
+	var history []settings.Write
+	for _, w := range v.History {
+		seen := settings.Write{ID: w.ID, Number: w.Number, At: w.At, By: w.By, Reason: w.Reason}
+		for i, p := range w.Paths {
+			if who.may(p) {
+				seen.Paths = append(seen.Paths, p)
+				seen.Before = append(seen.Before, w.Before[i])
+			}
+		}
+		if len(seen.Paths) > 0 {
+			history = append(history, seen)
+		}
+	}
+	v.History = history
+	return v
+}
+
+// bearer returns the request's bearer credential.
+func bearer(r *http.Request) string {
+	credential, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return credential
+}
+
+func answerError(w http.ResponseWriter, err error) {
+	status, body := toWireError(err)
+	answer(w, status, body)
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
--- a/internal/settings/commit.go
+++ b/internal/settings/commit.go
@@ -63,13 +63,14 @@
 	// Expect is the number of the settings that the writer saw. The write
 	// conflicts where one of its paths changed since. Zero: whatever is there.
 	Expect uint64
+	// By names the writer; Permit may name it instead.
 	By     string
 	Reason string
 	// DryRun checks and returns the settings as they would be.
 	DryRun bool
 	// Permit is asked on each attempt with the settings in force and the
-	// changes; its error refuses the write.
-	Permit func(current *Settings, changes []Change) error
+	// changes; it names the writer, or its error refuses the write.
+	Permit func(current *Settings, changes []Change) (by string, err error)
 }
 
 // Committer writes settings to the platform's service. Safe for concurrent use.
@@ -165,9 +166,11 @@
 		}
 	}
 	if a.Permit != nil {
-		if err := a.Permit(current, changes); err != nil {
+		by, err := a.Permit(current, changes)
+		if err != nil {
 			return err
 		}
+		a.By = by
 	}
 	if err := current.conflict(changes, a.Expect); err != nil {
 		return err
--- a/internal/settings/kind.go
+++ b/internal/settings/kind.go
@@ -153,6 +153,20 @@
 	return nil
 }
 
+// IsList reports whether the field of that name is a list at path.
+func IsList(path Path, name string) bool {
+	k := kindOf(path)
+	if k == nil {
+		return false
+	}
+	for _, f := range k.describe().Fields {
+		if f.Name == name {
+			return f.Form == string(formList)
+		}
+	}
+	return false
+}
+
 // Kind describes one sort of setting for the reference page.
 type Kind struct {
 	Paths  Path
--- a/internal/settings/lookup.go
+++ b/internal/settings/lookup.go
@@ -117,6 +117,17 @@
 	return &s.Grants[i], true
 }
 
+// Delegated reports whether some operator may write all of platform. Until
+// then the bootstrap credential may write.
+func (s *Settings) Delegated() bool {
+	for i := range s.Grants {
+		if s.Grants[i].May(platformRoot) {
+			return true
+		}
+	}
+	return false
+}
+
 // Drained reports whether operators drain the target or its zone.
 func (s *Settings) Drained(target place.Target, zone place.Zone) bool {
 	x := s.lookup()
