--- a/internal/command/program.go
+++ b/internal/command/program.go
@@ -15,7 +15,7 @@
 const (
 	groupSettings = "settings"
 	groupHosts    = "hosts and targets"
-	groupLocal    = "on this machine"
+	groupLocal    = "this machine alone"
 )
 
 const about = `citrontray: the operators' command line
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -19,6 +20,9 @@
 	maxMoveLines  = 10
 )
 
+// lineWidth is the width that tables and texts keep to.
+const lineWidth = 80
+
 // wireAnswer is the JSON of status: one daemon's report, or why there is none.
 type wireAnswer struct {
 	Addr   netip.AddrPort `json:"addr"`
@@ -164,9 +168,23 @@
 				return
 			}
 			left--
-			fmt.Fprintf(c.Out, "in doubt: %s shard %d for %s: %s\n", x.Service, d.Shard, c.ago(d.Since), d.Why)
+			fmt.Fprintf(c.Out, "in doubt: %s shard %d for %s\n", x.Service, d.Shard, c.ago(d.Since))
+			c.printWrapped(d.Why)
+		}
+	}
+}
+
+// printWrapped prints a text in lines of lineWidth, set in by two blanks.
+func (c *command) printWrapped(text string) {
+	line := " "
+	for word := range strings.FieldsSeq(text) {
+		if len(line)+1+len(word) > lineWidth {
+			fmt.Fprintln(c.Out, line)
+			line = " "
 		}
+		line += " " + word
 	}
+	fmt.Fprintln(c.Out, line)
 }
 
 func explainCommand() *command {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -65,8 +65,8 @@
 
 func (c *checker) service(s *Service) {
 	path := servicePath(s)
-	if other, ok := c.services[s.Name]; ok {
-		c.add(path, "", "has the name of a service of team "+string(other.Team), "names of services are unique in the deployment")
+	if _, ok := c.services[s.Name]; ok {
+		c.add(path, "", "has the name of another service", "names of services are unique in the deployment")
 	}
 	c.services[s.Name] = s
 	if !s.Shards.Valid() {
@@ -93,8 +93,8 @@
 }
 
 func (c *checker) caller(r *CallerRow) {
-	if other, ok := c.callers[r.Name]; ok {
-		c.add(callerPath(r), "", "has the name of a caller of team "+string(other.Team), "names of callers are unique in the deployment")
+	if _, ok := c.callers[r.Name]; ok {
+		c.add(callerPath(r), "", "has the name of another caller", "names of callers are unique in the deployment")
 	}
 	c.callers[r.Name] = r
 	if !validName(string(r.Tenant)) {
@@ -111,7 +111,7 @@
 		case !ok:
 			c.add(path, "callers", "names the caller "+string(name)+", which is not there", "add it or take it out")
 		case caller.Team != r.Team:
-			c.add(path, "callers", "names the caller "+string(name)+" of team "+string(caller.Team), "")
+			c.add(path, "callers", "names the caller "+string(name)+", which is not of this team", "")
 		}
 	}
 	if len(r.Callers) == 0 {
@@ -211,9 +211,14 @@
 			if a.Service != b.Service || !prefixesOverlap(a.KeyPrefix, b.KeyPrefix) {
 				continue
 			}
+			// The finding stands at the route that is being written. Rivals
+			// do not learn each other's names from it.
+			if c.items[routePath(b)].At.Line == 0 && c.items[routePath(a)].At.Line > 0 {
+				a, b = b, a
+			}
 			switch {
 			case a.Team != b.Team:
-				c.add(routePath(b), "prefix", "overlaps the keys of "+string(routePath(a)), "neither prefix may start with the other")
+				c.add(routePath(b), "prefix", "overlaps the keys of another team's route to "+string(b.Service), "neither prefix may start with the other")
 			case !c.sameTenant(a, b):
 				c.add(routePath(b), "prefix", "gives another tenant the keys of "+string(routePath(a)), "neither prefix may start with the other")
 			}
--- a/internal/settings/commit.go
+++ b/internal/settings/commit.go
@@ -22,6 +22,9 @@
 // maxAttempts bounds the compare-and-swaps of one commit.
 const maxAttempts = 64
 
+// maxReads bounds the reads of the document until one is answered.
+const maxReads = 2
+
 // retryPause is the wait before asking again after a lost answer.
 const retryPause = 20 * time.Millisecond
 
@@ -81,7 +84,7 @@
 
 // Load returns the settings in force; a store without any gives empty ones.
 func (c *Committer) Load(ctx context.Context) (*Settings, error) {
-	entry, err := c.store.Get(ctx, StorePath)
+	entry, err := c.get(ctx)
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
 		return &Settings{}, nil
@@ -91,6 +94,17 @@
 	return decodeEntry(entry)
 }
 
+// get reads the document. A lost answer to a read costs one more read.
+func (c *Committer) get(ctx context.Context) (entry platform.Entry, err error) {
+	for range maxReads {
+		entry, err = c.store.Get(ctx, StorePath)
+		if !errors.Is(err, platform.ErrUnavailable) {
+			break
+		}
+	}
+	return entry, err
+}
+
 // attempt is one commit under way.
 type attempt struct {
 	*Committer
