--- a/internal/bench/act.go
+++ b/internal/bench/act.go
@@ -81,7 +81,7 @@
 
 // replace stops a host as planned and starts a new one in its place.
 func (r *Run) replace(host Host) error {
-	r.platform.SetHost(time.Now(), host.row(place.Leaving))
+	r.platform.SetHost(time.Now(), host.Row(place.Leaving))
 	for _, part := range []Part{EntryPart, LeadPart} {
 		if err := r.Director.Stop(host.Name, part); err != nil {
 			return err
@@ -92,6 +92,6 @@
 			return err
 		}
 	}
-	r.platform.SetHost(time.Now(), host.row(place.Live))
+	r.platform.SetHost(time.Now(), host.Row(place.Live))
 	return nil
 }
--- a/internal/bench/hosts.go
+++ b/internal/bench/hosts.go
@@ -51,13 +51,13 @@
 	return hosts, findings.Err()
 }
 
-// row returns the host's row of the platform's list.
-func (h Host) row(state place.Liveness) place.HostRow {
+// Row returns the host's row of the platform's list.
+func (h Host) Row(state place.Liveness) place.HostRow {
 	return place.HostRow{Host: h.Name, Zone: h.Zone, State: state, Lead: h.LeadPeer, Entry: h.EntryPeer}
 }
 
-// entryHosts returns what the balancer needs to know.
-func entryHosts(hosts []Host) []load.EntryHost {
+// EntryHosts returns what the balancer needs to know.
+func EntryHosts(hosts []Host) []load.EntryHost {
 	out := make([]load.EntryHost, len(hosts))
 	for i, h := range hosts {
 		out[i] = load.EntryHost{Callers: h.Callers, Admin: h.EntryAdmin}
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -59,33 +59,15 @@
 	span := after.at.Sub(before.at)
 	perSecond := func(n uint64) float64 { return float64(n) / span.Seconds() }
 	report := Report{Summary: summary}
-	add := func(name string, number float64, unit string) {
-		report.Values = append(report.Values, Value{Name: name, Number: number, Unit: unit})
-	}
-	add("requests", float64(summary.Requests), "1")
-	add("done", float64(summary.Done), "1")
-	add("done_s", summary.PerSecond, "1/s")
-	add("p50_ms", millis(summary.P50), "ms")
-	add("p99_ms", millis(summary.P99), "ms")
-	for _, class := range slices.Sorted(maps.Keys(summary.Classes)) {
-		add("p99_"+string(class)+"_ms", millis(summary.Classes[class].P99), "ms")
-	}
+	add := report.add
+	report.addLoad(summary)
 	add("imbalance", imbalance(before.served, after.served), "ratio")
 	add("moves", float64(after.ledger.Moves-before.ledger.Moves), "1")
-	add("unavailable_sum_ms", millis(summary.OutageSum), "ms")
-	add("unavailable_max_ms", millis(summary.OutageMax), "ms")
-	add("unavailable_shards", float64(summary.OutageShards), "1")
-	add("not_run", float64(summary.NotRun), "1")
-	add("unknown", float64(summary.Unknown), "1")
 	add("doubled_owner", float64(after.ledger.DoubledOwner), "1")
 	add("doubled_run", float64(after.ledger.DoubledRun), "1")
-	add("lost_answer", float64(summary.Lost+summary.Unrun), "1")
-	add("wrong_answer", float64(summary.Wrong), "1")
-	add("false_not_run", float64(summary.FalseNotRun), "1")
 	add("sheds", float64(after.ledger.Sheds-before.ledger.Sheds), "1")
 	add("misrouted", float64(after.ledger.Misrouted-before.ledger.Misrouted), "1")
 	add("refused_connections", float64(after.ledger.Refused-before.ledger.Refused), "1")
-	add("dropped", float64(summary.Dropped), "1")
 	add("store_reads_s", perSecond(after.platform.Reads-before.platform.Reads), "1/s")
 	add("store_writes_s", perSecond(after.platform.Writes-before.platform.Writes), "1/s")
 	r.addUsage(add, before, after, span)
@@ -93,6 +75,39 @@
 	return report
 }
 
+// add adds one figure.
+func (r *Report) add(name string, number float64, unit string) {
+	r.Values = append(r.Values, Value{Name: name, Number: number, Unit: unit})
+}
+
+// addLoad adds what callers saw.
+func (r *Report) addLoad(s load.Summary) {
+	r.add("requests", float64(s.Requests), "1")
+	r.add("done", float64(s.Done), "1")
+	r.add("done_s", s.PerSecond, "1/s")
+	r.add("p50_ms", millis(s.P50), "ms")
+	r.add("p99_ms", millis(s.P99), "ms")
+	for _, class := range slices.Sorted(maps.Keys(s.Classes)) {
+		r.add("p99_"+string(class)+"_ms", millis(s.Classes[class].P99), "ms")
+	}
+	r.add("unavailable_sum_ms", millis(s.OutageSum), "ms")
+	r.add("unavailable_max_ms", millis(s.OutageMax), "ms")
+	r.add("unavailable_shards", float64(s.OutageShards), "1")
+	r.add("not_run", float64(s.NotRun), "1")
+	r.add("unknown", float64(s.Unknown), "1")
+	r.add("lost_answer", float64(s.Lost+s.Unrun), "1")
+	r.add("wrong_answer", float64(s.Wrong), "1")
+	r.add("false_not_run", float64(s.FalseNotRun), "1")
+	r.add("dropped", float64(s.Dropped), "1")
+}
+
+// WriteSummary prints what callers saw, one figure a line.
+func WriteSummary(out io.Writer, s load.Summary) {
+	report := Report{Summary: s}
+	report.addLoad(s)
+	report.Write(out)
+}
+
 // addUsage adds the mean processor time and the largest memory of each part.
 // A process that started or ended in between is left out of the mean.
 func (r *Run) addUsage(add func(string, float64, string), before, after snapshot, span time.Duration) {
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -67,7 +67,7 @@
 func New(config Config) *Run {
 	r := &Run{Config: config, platform: standin.NewPlatform()}
 	r.farm = standin.NewFarm(load.Groups(config.Preset, config.Settings), config.Preset.Zones)
-	r.balancer = load.NewBalancer(entryHosts(config.Hosts))
+	r.balancer = load.NewBalancer(EntryHosts(config.Hosts))
 	r.plan = load.NewPlan(config.Preset, config.Settings, config.Scenario.Load)
 	r.plan.Hot = config.Scenario.Hot
 	return r
@@ -112,7 +112,7 @@
 	r.platform.SetFleetLag(0)
 	r.farm.Register(now, r.platform)
 	for _, host := range r.Hosts {
-		r.platform.SetHost(now, host.row(place.Live))
+		r.platform.SetHost(now, host.Row(place.Live))
 	}
 	r.platform.SetFleetLag(time.Second)
 }
--- /dev/null
+++ b/internal/lab/load.go
@@ -0,0 +1,145 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"time"
+
+	"github.com/google/subcommands"
+	"golang.org/x/sync/errgroup"
+
+	"citrontray.example/citrontray/internal/bench"
+	"citrontray.example/citrontray/internal/load"
+	"citrontray.example/citrontray/internal/standin"
+)
+
+// readyTime bounds the wait for the first entry host to be ready.
+const readyTime = 15 * time.Second
+
+// loadCommand loads a running deployment.
+type loadCommand struct {
+	hosts, targets, preset string
+
+	part   float64
+	length time.Duration
+	seed   uint64
+}
+
+// Name implements subcommands.Command.
+func (*loadCommand) Name() string { return "load" }
+
+// Synopsis implements subcommands.Command.
+func (*loadCommand) Synopsis() string { return "load a running deployment and check each answer" }
+
+// Usage implements subcommands.Command.
+func (*loadCommand) Usage() string {
+	return "load --hosts FILE --targets IP:PORT --preset NAME [--part 0.25] [--length 10s]\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *loadCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.hosts, "hosts", "", "file with the entry hosts; see scripts/cluster.sh")
+	f.StringVar(&c.targets, "targets", "127.0.0.1:9710", "admin address of the targets")
+	f.StringVar(&c.preset, "preset", "agency", "preset, agency or consortium")
+	f.Float64Var(&c.part, "part", 0.25, "part of the targets' capacity to load")
+	f.DurationVar(&c.length, "length", 10*time.Second, "length of the load")
+	f.Uint64Var(&c.seed, "seed", 1, "seed of the load")
+}
+
+// Execute implements subcommands.Command.
+func (c *loadCommand) Execute(ctx context.Context, _ *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	o := outputOf(args)
+	return o.exit(c.run(ctx, o))
+}
+
+func (c *loadCommand) run(ctx context.Context, o output) error {
+	targets, errTargets := address("--targets", c.targets)
+	hosts, errHosts := bench.ReadHosts(c.hosts)
+	p, errPreset := getPreset(c.preset)
+	if err := errors.Join(errTargets, errHosts, errPreset); err != nil {
+		return err
+	}
+	s, err := p.Settings()
+	if err != nil {
+		return err
+	}
+	balancer := load.NewBalancer(bench.EntryHosts(hosts))
+	if err := waitReady(ctx, balancer, len(hosts)); err != nil {
+		return err
+	}
+	g := load.NewGenerator(load.NewPlan(p, s, c.part), balancer, fmt.Sprintf("l%d-", time.Now().UnixNano()), c.seed)
+	loaded, cancel := context.WithTimeout(ctx, c.length)
+	defer cancel()
+	group, loaded := errgroup.WithContext(loaded)
+	group.Go(func() error { return balancer.Run(loaded) })
+	group.Go(func() error { return g.Run(loaded) })
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	remote := standin.NewRemote(targets)
+	summary, err := g.Result().Summarize(time.Now(), func(operations []string) ([]uint32, error) {
+		return remote.RunsOf(ctx, operations)
+	})
+	if err != nil {
+		return err
+	}
+	bench.WriteSummary(o.out, summary)
+	if summary.FalseNotRun+summary.Unrun+summary.Lost+summary.Wrong > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+func waitReady(ctx context.Context, balancer *load.Balancer, hosts int) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	for balancer.Refresh(ctx) < hosts {
+		select {
+		case <-time.After(100 * time.Millisecond):
+		case <-ctx.Done():
+			return fmt.Errorf("not all of %d entry hosts are ready after %s", hosts, readyTime)
+		}
+	}
+	return nil
+}
+
+// checkCommand says whether the invariants held at the targets.
+type checkCommand struct{ targets string }
+
+// Name implements subcommands.Command.
+func (*checkCommand) Name() string { return "check" }
+
+// Synopsis implements subcommands.Command.
+func (*checkCommand) Synopsis() string { return "say whether every invariant held at the targets" }
+
+// Usage implements subcommands.Command.
+func (*checkCommand) Usage() string { return "check --targets IP:PORT\n" }
+
+// SetFlags implements subcommands.Command.
+func (c *checkCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.targets, "targets", "127.0.0.1:9710", "admin address of the targets")
+}
+
+// Execute implements subcommands.Command.
+func (c *checkCommand) Execute(ctx context.Context, _ *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	o := outputOf(args)
+	addr, err := address("--targets", c.targets)
+	if err != nil {
+		return o.exit(err)
+	}
+	counts, findings, err := standin.NewRemote(addr).Ledger(ctx)
+	if err != nil {
+		return o.exit(err)
+	}
+	fmt.Fprintf(o.out, "runs %d 1\nmoves %d 1\nsheds %d 1\nmisrouted %d 1\ndoubled_owner %d 1\ndoubled_run %d 1\n",
+		counts.Runs, counts.Moves, counts.Sheds, counts.Misrouted, counts.DoubledOwner, counts.DoubledRun)
+	for _, text := range findings {
+		fmt.Fprintln(o.out, "broken:", text)
+	}
+	if counts.DoubledOwner+counts.DoubledRun > 0 {
+		return o.exit(errBroken)
+	}
+	return o.exit(nil)
+}
--- a/internal/lab/main.go
+++ b/internal/lab/main.go
@@ -30,7 +30,8 @@
 	commander := subcommands.NewCommander(flags, "citrontray-lab")
 	commander.Output, commander.Error = out, errOut
 	for _, c := range []subcommands.Command{
-		&benchCommand{}, &portsCommand{}, &presetCommand{}, &scenariosCommand{},
+		&benchCommand{}, &platformCommand{}, &targetsCommand{}, &loadCommand{},
+		&checkCommand{}, &portsCommand{}, &presetCommand{}, &scenariosCommand{},
 	} {
 		commander.Register(c, "")
 	}
--- /dev/null
+++ b/internal/lab/standin.go
@@ -0,0 +1,168 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+	"golang.org/x/sync/errgroup"
+
+	"citrontray.example/citrontray/internal/bench"
+	"citrontray.example/citrontray/internal/finding"
+	"citrontray.example/citrontray/internal/load"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/platform"
+	"citrontray.example/citrontray/internal/standin"
+)
+
+const (
+	headerTimeout = time.Minute
+	closeTimeout  = 2 * time.Second
+)
+
+// adminPrefix starts the paths of the admin pages.
+const adminPrefix = "/lab/"
+
+// platformCommand runs the stand-in of the platform.
+type platformCommand struct{ address, hosts string }
+
+// Name implements subcommands.Command.
+func (*platformCommand) Name() string { return "platform" }
+
+// Synopsis implements subcommands.Command.
+func (*platformCommand) Synopsis() string { return "run the stand-in of the platform's service" }
+
+// Usage implements subcommands.Command.
+func (*platformCommand) Usage() string {
+	return "platform --address IP:PORT [--hosts FILE]\n\nThe admin pages are below /lab/ at the same address.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *platformCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.address, "address", "127.0.0.1:9700", "address to listen on")
+	f.StringVar(&c.hosts, "hosts", "", "file with the entry hosts for the list; see scripts/cluster.sh")
+}
+
+// Execute implements subcommands.Command.
+func (c *platformCommand) Execute(ctx context.Context, _ *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	o := outputOf(args)
+	addr, err := address("--address", c.address)
+	if err != nil {
+		return o.exit(err)
+	}
+	p := standin.NewPlatform()
+	if c.hosts != "" {
+		hosts, err := bench.ReadHosts(c.hosts)
+		if err != nil {
+			return o.exit(err)
+		}
+		for _, host := range hosts {
+			p.SetHost(time.Now(), host.Row(place.Live))
+		}
+	}
+	store, admin := platform.NewHandler(p), standin.NewPlatformAdmin(p)
+	return o.exit(serve(ctx, addr, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, adminPrefix) {
+			admin.ServeHTTP(w, r)
+			return
+		}
+		store.ServeHTTP(w, r)
+	})))
+}
+
+// targetsCommand runs the targets of a preset.
+type targetsCommand struct{ address, platform, preset string }
+
+// Name implements subcommands.Command.
+func (*targetsCommand) Name() string { return "targets" }
+
+// Synopsis implements subcommands.Command.
+func (*targetsCommand) Synopsis() string { return "run stand-ins of all targets of a preset" }
+
+// Usage implements subcommands.Command.
+func (*targetsCommand) Usage() string {
+	return "targets --address IP:PORT --platform IP:PORT --preset NAME\n\nThe address serves the admin pages; each target has a port of its own.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *targetsCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.address, "address", "127.0.0.1:9710", "address of the admin pages")
+	f.StringVar(&c.platform, "platform", "127.0.0.1:9700", "address of the platform's stand-in")
+	f.StringVar(&c.preset, "preset", "agency", "preset, agency or consortium")
+}
+
+// Execute implements subcommands.Command.
+func (c *targetsCommand) Execute(ctx context.Context, _ *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	return outputOf(args).exit(c.run(ctx))
+}
+
+func (c *targetsCommand) run(ctx context.Context) error {
+	admin, errAdmin := address("--address", c.address)
+	store, errStore := address("--platform", c.platform)
+	if err := errors.Join(errAdmin, errStore); err != nil {
+		return err
+	}
+	p, err := getPreset(c.preset)
+	if err != nil {
+		return err
+	}
+	s, err := p.Settings()
+	if err != nil {
+		return err
+	}
+	farm := standin.NewFarm(load.Groups(p, s), p.Zones)
+	if err := farm.Start(); err != nil {
+		return err
+	}
+	var rows []place.TargetRow
+	for _, t := range farm.Targets() {
+		rows = append(rows, t.Row(place.Live))
+	}
+	if err := standin.NewRemote(store).SetTargets(ctx, rows); err != nil {
+		return err
+	}
+	err = serve(ctx, admin, standin.NewFarmAdmin(farm))
+	stop, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	farm.Stop(stop)
+	return err
+}
+
+// address parses the value of a flag.
+func address(name, value string) (netip.AddrPort, error) {
+	addr, err := netip.ParseAddrPort(value)
+	if err == nil {
+		return addr, nil
+	}
+	var findings finding.List
+	findings.Add(name, fmt.Sprintf("%q is not an address", value), "write IP:PORT")
+	return addr, findings.Err()
+}
+
+// serve serves until ctx ends.
+func serve(ctx context.Context, addr netip.AddrPort, handler http.Handler) error {
+	listener, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+	return group.Wait()
+}
--- /dev/null
+++ b/internal/standin/admin.go
@@ -0,0 +1,192 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"citrontray.example/citrontray/internal/place"
+)
+
+// The admin pages of the stand-ins.
+const (
+	pathTargets = "/lab/targets"
+	pathHosts   = "/lab/hosts"
+	pathRuns    = "/lab/runs"
+	pathLedger  = "/lab/ledger"
+	pathAct     = "/lab/act"
+	pathFault   = "/lab/fault"
+)
+
+// maxAdminBytes bounds the body of an admin call.
+const maxAdminBytes = 256 << 20
+
+// wireRow is a host's or a target's row in JSON.
+type wireRow struct {
+	Name    string         `json:"name"`
+	Service string         `json:"service,omitempty"`
+	Zone    string         `json:"zone"`
+	State   uint8          `json:"state"`
+	Addr    netip.AddrPort `json:"addr,omitzero"`
+	Lead    netip.AddrPort `json:"lead,omitzero"`
+	Entry   netip.AddrPort `json:"entry,omitzero"`
+}
+
+// wireFault is PlatformFaults in JSON; durations are in milliseconds.
+type wireFault struct {
+	Down        bool     `json:"down"`
+	SlowMin     int64    `json:"slow_min"`
+	SlowMax     int64    `json:"slow_max"`
+	LoseAnswers float64  `json:"lose_answers"`
+	OldValues   bool     `json:"old_values"`
+	CutHosts    []string `json:"cut_hosts"`
+	CutZones    []string `json:"cut_zones"`
+}
+
+// wireAct asks for a verb on one target.
+type wireAct struct {
+	Target string `json:"target"`
+	Verb   string `json:"verb"`
+}
+
+// wireLedger is what the ledger holds, in JSON.
+type wireLedger struct {
+	Counts   wireCounts `json:"counts"`
+	Findings []string   `json:"findings"`
+}
+
+// wireCounts is LedgerCounts in JSON.
+type wireCounts struct {
+	DoubledOwner uint64 `json:"doubled_owner"`
+	DoubledRun   uint64 `json:"doubled_run"`
+	Moves        uint64 `json:"moves"`
+	Runs         uint64 `json:"runs"`
+	Sheds        uint64 `json:"sheds"`
+	Misrouted    uint64 `json:"misrouted"`
+	Late         uint64 `json:"late"`
+	Refused      uint64 `json:"refused"`
+}
+
+// NewPlatformAdmin serves the admin pages of a platform's stand-in.
+func NewPlatformAdmin(p *Platform) http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(pathTargets, func(w http.ResponseWriter, r *http.Request) {
+		var rows []wireRow
+		if !readAdmin(w, r, &rows) {
+			return
+		}
+		for _, row := range rows {
+			p.SetTarget(time.Now(), place.TargetRow{
+				Target: place.Target(row.Name), Service: row.Service, Zone: place.Zone(row.Zone),
+				State: place.Liveness(row.State), Addr: row.Addr,
+			})
+		}
+	}).Methods(http.MethodPost)
+	r.HandleFunc(pathHosts, func(w http.ResponseWriter, r *http.Request) {
+		var rows []wireRow
+		if !readAdmin(w, r, &rows) {
+			return
+		}
+		for _, row := range rows {
+			p.SetHost(time.Now(), place.HostRow{
+				Host: place.Host(row.Name), Zone: place.Zone(row.Zone),
+				State: place.Liveness(row.State), Lead: row.Lead, Entry: row.Entry,
+			})
+		}
+	}).Methods(http.MethodPost)
+	r.HandleFunc(pathFault, func(w http.ResponseWriter, r *http.Request) {
+		var f wireFault
+		if readAdmin(w, r, &f) {
+			p.SetFaults(f.faults())
+		}
+	}).Methods(http.MethodPost)
+	return r
+}
+
+func (f wireFault) faults() PlatformFaults {
+	out := PlatformFaults{
+		Down:        f.Down,
+		SlowMin:     time.Duration(f.SlowMin) * time.Millisecond,
+		SlowMax:     time.Duration(f.SlowMax) * time.Millisecond,
+		LoseAnswers: f.LoseAnswers,
+		OldValues:   f.OldValues,
+	}
+	for _, host := range f.CutHosts {
+		out.CutHosts = append(out.CutHosts, place.Host(host))
+	}
+	for _, zone := range f.CutZones {
+		out.CutZones = append(out.CutZones, place.Zone(zone))
+	}
+	return out
+}
+
+// NewFarmAdmin serves the admin pages of a farm.
+func NewFarmAdmin(f *Farm) http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(pathRuns, func(w http.ResponseWriter, r *http.Request) {
+		var operations []string
+		if readAdmin(w, r, &operations) {
+			writeAdmin(w, f.Ledger.RunsOf(operations))
+		}
+	}).Methods(http.MethodPost)
+	r.HandleFunc(pathLedger, func(w http.ResponseWriter, _ *http.Request) {
+		c := f.Ledger.Counts()
+		writeAdmin(w, wireLedger{Findings: f.Ledger.Findings(), Counts: wireCounts(c)})
+	})
+	r.HandleFunc(pathAct, func(w http.ResponseWriter, r *http.Request) {
+		var act wireAct
+		if readAdmin(w, r, &act) {
+			w.WriteHeader(f.act(act))
+		}
+	}).Methods(http.MethodPost)
+	return r
+}
+
+// act carries out a verb and returns the status to answer with.
+func (f *Farm) act(act wireAct) int {
+	t, ok := f.Target(place.Target(act.Target))
+	if !ok {
+		return http.StatusNotFound
+	}
+	switch act.Verb {
+	case "kill":
+		t.Kill()
+	case "start":
+		if t.Start() != nil {
+			return http.StatusConflict
+		}
+	case "freeze":
+		t.Freeze()
+	case "thaw":
+		t.Thaw()
+	case "drain":
+		t.SetFaults(TargetFaults{Draining: true})
+	case "heal":
+		t.SetFaults(TargetFaults{})
+	default:
+		return http.StatusBadRequest
+	}
+	return http.StatusOK
+}
+
+func readAdmin(w http.ResponseWriter, r *http.Request, into any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAdminBytes)).Decode(into)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeAdmin(w http.ResponseWriter, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(body)
+}
--- /dev/null
+++ b/internal/standin/remote_test.go
@@ -0,0 +1,63 @@
+package standin_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/standin"
+)
+
+func remoteOf(t *testing.T, handler http.Handler) *standin.Remote {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return standin.NewRemote(netip.MustParseAddrPort(server.Listener.Addr().String()))
+}
+
+func TestRemoteReachesTheTargets(t *testing.T) {
+	farm := newFarm(t)
+	remote := remoteOf(t, standin.NewFarmAdmin(farm))
+	ctx := context.Background()
+	give(t, farm.Targets()[0], 3)
+	_, _, err := ask(t, farm.Targets()[0], "3", "/balance/k?operation=op1", "")
+	assert.NilError(t, err)
+
+	runs, err := remote.RunsOf(ctx, []string{"op1", "op2"})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, runs, []uint32{1, 0})
+	counts, findings, err := remote.Ledger(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, counts.Runs, uint64(1))
+	assert.Equal(t, len(findings), 0)
+
+	assert.NilError(t, remote.Act(ctx, "balance-1", "kill"))
+	_, _, err = ask(t, farm.Targets()[0], "3", "/balance/k?operation=op3", "")
+	assert.Assert(t, err != nil)
+	assert.NilError(t, remote.Act(ctx, "balance-1", "start"))
+	assert.ErrorContains(t, remote.Act(ctx, "balance-1", "fly"), "400")
+	assert.ErrorContains(t, remote.Act(ctx, "balance-9", "kill"), "404")
+}
+
+func TestRemoteFillsTheFleetList(t *testing.T) {
+	p := standin.NewPlatform()
+	p.SetFleetLag(0)
+	remote := remoteOf(t, standin.NewPlatformAdmin(p))
+	ctx := context.Background()
+	addr := netip.MustParseAddrPort("127.0.0.1:9")
+	host := place.HostRow{Host: "host-1", Zone: "zone-a", Lead: addr, Entry: addr}
+	target := place.TargetRow{Target: "balance-1", Service: "balance", Zone: "zone-a", Addr: addr}
+	assert.NilError(t, remote.SetHosts(ctx, []place.HostRow{host}))
+	assert.NilError(t, remote.SetTargets(ctx, []place.TargetRow{target}))
+	fleet, err := p.Fleet(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(fleet.Hosts), 1)
+	assert.Equal(t, fleet.Hosts[0], host)
+	assert.Equal(t, len(fleet.Targets), 1)
+	assert.Equal(t, fleet.Targets[0], target)
+}
