The ownership core: leases, terms, anchored grants, evidence, standby and deputy

A cell's host is a pure core: events in, effects out, the present time an argument. With the store up it creates the first document, takes the lease, raises the term, grants by anchored orders, and moves shards on evidence only; with the store out it renews by promises, activates standbys on acknowledged intents, and lets a deputy extend what stands.

--- a/internal/cell/doc.go
+++ b/internal/cell/doc.go
@@ -44,6 +44,11 @@
 	Targets []TargetDoc
 	Rows    []Row
 	Solos   []Solo
+	// NextSolo is the shard of the next solo key; numbers are never reused.
+	NextSolo key.Shard
+	// Given lists the shards that custody took away and that nobody in this
+	// cell holds any more.
+	Given []Given
 	// Custody is the revision of the custody document that Rows reflects.
 	Custody platform.Revision
 	// Moves holds the newest moves, oldest first, bounded.
@@ -80,6 +85,17 @@
 type Solo struct {
 	Hash  key.Hash
 	Shard key.Shard
+	// Parent is the hash-range shard, Cut its first epoch without the key.
+	Parent key.Shard
+	Cut    grant.Epoch
+}
+
+// Given is one shard that this cell gave up. Another cell may grant it at
+// Floor or above.
+type Given struct {
+	Shard    key.Shard
+	Floor    grant.Epoch
+	Evidence grant.Evidence
 }
 
 // Move records one change of owner and the evidence for it.
--- /dev/null
+++ b/internal/cell/election.go
@@ -0,0 +1,185 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"citrontray.example/citrontray/internal/grant"
+	"citrontray.example/citrontray/internal/place"
+)
+
+// campaign is the state of a host that tries to take the lead.
+type campaign struct {
+	since time.Time
+	// fresh tells that the store was read since the campaign began.
+	fresh bool
+}
+
+// mayLead reports whether the document, or the fleet where there is no
+// document yet, names this host as one that may lead the cell.
+func (c *Cell) mayLead() bool {
+	if !c.hasDoc {
+		return c.absent && c.custodySeen && c.fleetSeen && slices.Contains(c.wantedRoster(), c.cfg.Self)
+	}
+	if slices.Contains(c.doc.Roster, c.cfg.Self) {
+		return true
+	}
+	return c.rosterLost() && slices.Contains(c.wantedRoster(), c.cfg.Self)
+}
+
+// rosterLost reports whether operators declared every roster host lost.
+func (c *Cell) rosterLost() bool {
+	for _, h := range c.doc.Roster {
+		if !c.hostLost(h) {
+			return false
+		}
+	}
+	return len(c.doc.Roster) > 0
+}
+
+// rank spreads the candidates of one cell over time.
+func (c *Cell) rank() time.Duration {
+	roster := c.doc.Roster
+	if !c.hasDoc {
+		roster = c.wantedRoster()
+	}
+	return time.Duration(max(slices.Index(roster, c.cfg.Self), 0)) * rankDelay
+}
+
+// follow starts a campaign once the lead is silent on the peer link. A lead
+// that merely lost its lease to a slow store keeps its roster's ear, and with
+// it the lead.
+func (c *Cell) follow() {
+	if !c.hasDoc && !c.absent {
+		c.read()
+		return
+	}
+	if c.stopping || !c.mayLead() || c.promised() {
+		return
+	}
+	silence := c.cfg.Timing.Promise
+	if c.now.Before(c.born.Add(c.longer(silence))) && c.hasDoc {
+		return
+	}
+	if c.now.Before(c.promise.heard.Add(silence + c.rank())) {
+		return
+	}
+	c.role = candidate
+	c.campaign = campaign{since: c.now}
+	c.run()
+}
+
+// run carries a campaign on: read, take the lease, write the next term.
+func (c *Cell) run() {
+	if c.write.pending {
+		return
+	}
+	if !c.mayLead() {
+		c.role = follower
+		return
+	}
+	if !c.campaign.fresh {
+		c.read()
+		c.considerDeputy()
+		return
+	}
+	if !c.now.Before(c.lease.until) {
+		c.askLease(c.cfg.Timing.LeaseRenew)
+		c.considerDeputy()
+		return
+	}
+	c.propose(c.nextTerm())
+}
+
+// nextTerm returns the document with this host as lead.
+func (c *Cell) nextTerm() Doc {
+	d := c.doc.clone()
+	d.Term = c.knownTerm() + 1
+	d.Lead, d.LeadAddr, d.LeadIncarnation = c.cfg.Self, c.cfg.SelfAddr, c.cfg.Incarnation
+	if !c.hasDoc {
+		c.firstLayout(&d)
+		return d
+	}
+	if c.rosterLost() {
+		d.Roster = []place.Host{c.cfg.Self}
+		d.Removed = slices.DeleteFunc(d.Removed, func(r RemovedHost) bool { return r.Host == c.cfg.Self })
+	}
+	return d
+}
+
+// becomeLead takes up a won term. Rows that an earlier lead may have granted
+// are in doubt until their targets were asked.
+func (c *Cell) becomeLead() {
+	c.role = leader
+	c.term = c.doc.Term
+	c.leadSince = c.now
+	c.heartbeatDue, c.maintainDue = c.now, c.now
+	c.plan, c.planStarts, c.cuts = nil, nil, nil
+	for i := range c.mates {
+		c.mates[i].forget()
+	}
+	for i := range c.targets {
+		c.targets[i].taken()
+	}
+	first := c.doc.Term == 1
+	for i := range c.rows {
+		c.rows[i] = rowState{doubt: !first && !c.knobs.noInventory, served: !first}
+	}
+	c.dirty = true
+	c.logf("leads at term %d", c.term)
+}
+
+// stepDown ends leading, deputising or campaigning.
+func (c *Cell) stepDown(why string) {
+	if c.role == leader || c.role == deputy {
+		c.logf("stops being %s: %s", c.role, why)
+	}
+	c.role = follower
+	c.term = 0
+	c.lease.until = time.Time{}
+	for i := range c.rows {
+		c.rows[i] = rowState{}
+	}
+	c.promise.heard = latest(c.promise.heard, c.now.Add(-c.cfg.Timing.Promise/2))
+}
+
+// superseded records a higher term and stops a lead of a lower one.
+func (c *Cell) superseded(term grant.Term, by string) {
+	if term <= c.knownTerm() {
+		return
+	}
+	c.refused = term
+	if c.role == leader || c.role == deputy {
+		c.stepDown("a higher term is known to " + by)
+	}
+	c.read()
+}
+
+// stop is the planned stop: hand over to a host that promised, then end.
+func (c *Cell) stop() {
+	if c.write.pending && c.now.Sub(c.write.sent) < callTimeout {
+		return
+	}
+	if c.leading() {
+		for i := range c.mates {
+			if c.good(&c.mates[i]) {
+				c.emit(SendPeer{To: c.mates[i].host, Message: Handover{Term: c.term}})
+				break
+			}
+		}
+		c.emit(ReleaseLease{})
+	}
+	c.stepDown("planned stop")
+	c.role = stopped
+	c.emit(Stopped{})
+}
+
+// leadCell runs the lead's systems.
+func (c *Cell) leadCell() {
+	c.askLease(c.cfg.Timing.LeaseRenew)
+	c.heartbeat()
+	c.settle()
+	c.standbys()
+	c.maintain()
+	c.orders()
+}
--- a/internal/cell/event.go
+++ b/internal/cell/event.go
@@ -194,6 +194,8 @@
 	// asks for it through the peers where it is older.
 	Revision platform.Revision
 	Intents  []Intent
+	// Doc is the document of that revision, for a receiver known to be behind.
+	Doc *Doc
 }
 
 // Intent is a standby that the lead means to activate while the store is out.
@@ -211,6 +213,8 @@
 	Incarnation place.Incarnation
 	ReadStore   bool
 	Intents     []Intent
+	// Revision is the newest document that the sender knows.
+	Revision platform.Revision
 }
 
 // Refuse answers a heartbeat of a lower term: its sender stops at once.
--- /dev/null
+++ b/internal/cell/invariant.go
@@ -0,0 +1,92 @@
+package cell
+
+import (
+	"fmt"
+
+	"citrontray.example/citrontray/internal/grant"
+	"citrontray.example/citrontray/internal/key"
+)
+
+// checkStep reports whether the step from one document to the next keeps the
+// invariants. A violation ends leading: it is a fault of this program, and
+// the next lead starts from the store.
+func (c *Cell) checkStep(from, to *Doc) bool {
+	err := stepError(from, to)
+	if err == nil {
+		return true
+	}
+	c.logf("invariant violated: %v", err)
+	c.stepDown("invariant violated")
+	return false
+}
+
+// stepError returns what is wrong with a step between two documents.
+func stepError(from, to *Doc) error {
+	if to.Term < from.Term {
+		return fmt.Errorf("term fell from %d to %d", from.Term, to.Term)
+	}
+	if err := to.check(); err != nil {
+		return err
+	}
+	for _, r := range from.Rows {
+		if err := rowStepError(r, from, to); err != nil {
+			return err
+		}
+	}
+	if to.NextSolo < from.NextSolo {
+		return fmt.Errorf("solo number fell from %d to %d", from.NextSolo, to.NextSolo)
+	}
+	return nil
+}
+
+func rowStepError(r Row, from, to *Doc) error {
+	i := to.rowOf(r.Shard)
+	if i < 0 {
+		return goneError(r, from, to)
+	}
+	next := to.Rows[i]
+	if next.Epoch < r.Epoch {
+		return fmt.Errorf("epoch of shard %d fell from %d to %d", r.Shard, r.Epoch, next.Epoch)
+	}
+	moved := next.Owner != r.Owner
+	if moved && next.Epoch == r.Epoch {
+		return fmt.Errorf("shard %d moved within epoch %d", r.Shard, r.Epoch)
+	}
+	return nil
+}
+
+// goneError accepts a row that is listed as given up above its epoch, and a
+// solo key that went back to its parent.
+func goneError(r Row, from, to *Doc) error {
+	for _, g := range to.Given {
+		if g.Shard == r.Shard && g.Floor > r.Epoch {
+			return nil
+		}
+	}
+	if isSolo(from, r.Shard) && !isSolo(to, r.Shard) {
+		return nil
+	}
+	return fmt.Errorf("shard %d is in no row and not given up", r.Shard)
+}
+
+func isSolo(d *Doc, shard key.Shard) bool {
+	for _, s := range d.Solos {
+		if s.Shard == shard {
+			return true
+		}
+	}
+	return false
+}
+
+// Floor returns an epoch above every one that this cell can have granted for
+// the shard, a standby's activation included. Zero where it has no row.
+func (d *Doc) Floor(shard key.Shard) grant.Epoch {
+	i := d.rowOf(shard)
+	if i < 0 {
+		return 0
+	}
+	return d.Rows[i].Epoch + standbyEpochs
+}
+
+// standbyEpochs bounds the epochs that standbys can add without the store.
+const standbyEpochs = 1 << 10
--- /dev/null
+++ b/internal/cell/maintain.go
@@ -0,0 +1,282 @@
+package cell
+
+import (
+	"slices"
+
+	"citrontray.example/citrontray/internal/grant"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/place"
+)
+
+// maintain brings the document in line with targets, custody and plans: all
+// that is ready goes into one write. Only a lead with a valid lease writes,
+// so that lapse is judged by one host alone.
+func (c *Cell) maintain() {
+	if !c.leaseValid() || c.write.pending || c.now.Before(c.maintainDue) {
+		return
+	}
+	c.maintainDue = c.now.Add(maintainEvery)
+	c.startReleases()
+	d := c.newDraft()
+	c.saveActivations(d)
+	c.updateTargets(d)
+	c.resolveDoubts(d)
+	c.moveRows(d)
+	c.raiseEpochs(d)
+	c.refreshStandbys(d)
+	c.clearRemoved(d)
+	// From here on the rows of the draft are out of line with c.rows.
+	c.cutSolos(d)
+	c.takeIn(d)
+	c.giveUp(d)
+	if d.changed {
+		c.propose(d.doc)
+		return
+	}
+	c.changeRoster()
+}
+
+// firstLayout fills the first document from custody and the platform's list.
+func (c *Cell) firstLayout(doc *Doc) {
+	d := &draft{doc: *doc}
+	d.doc.Roster = c.wantedRoster()
+	d.doc.NextSolo = key.Shard(c.cfg.Shards)
+	d.doc.Custody = c.custody.Revision
+	c.updateTargets(d)
+	listed := func(t TargetIndex) bool {
+		row := c.fleetRow(d.doc.Targets[t].Target)
+		return row != nil && row.State == place.Live
+	}
+	d.doc.Rows = make([]Row, 0, len(c.custody.Shards))
+	for _, s := range c.custody.Shards {
+		d.doc.Rows = append(d.doc.Rows, Row{Shard: s.Shard, Epoch: max(s.Floor, 1), Owner: NoTarget, Standby: NoTarget})
+	}
+	d.count()
+	for i := range d.doc.Rows {
+		r := &d.doc.Rows[i]
+		r.Owner = d.pick(r.Shard, listed)
+		d.moveCount(NoTarget, r.Owner)
+		r.Standby = d.standbyFor(r.Shard, r.Owner, listed)
+	}
+	*doc = d.doc
+}
+
+// updateTargets adds listed targets and drops those that left and own nothing.
+func (c *Cell) updateTargets(d *draft) {
+	for _, row := range c.fleet.Targets {
+		if row.Zone != c.cfg.ID.Zone || row.Service != string(c.cfg.ID.Service) {
+			continue
+		}
+		i := d.doc.targetOf(row.Target)
+		if i == NoTarget {
+			if row.State == place.Live && row.Addr.IsValid() {
+				d.addTarget(TargetDoc{Target: row.Target, Addr: row.Addr, Since: c.now})
+			}
+			continue
+		}
+		// The old address may still run the old life: move off it first.
+		if t := &d.doc.Targets[i]; t.Addr != row.Addr && row.Addr.IsValid() && !d.uses(i) {
+			t.Addr = row.Addr
+			d.changed = true
+		}
+	}
+	for i := range d.doc.Targets {
+		if i < len(c.targets) {
+			c.updateTarget(d, TargetIndex(i))
+		}
+	}
+}
+
+func (c *Cell) updateTarget(d *draft, i TargetIndex) {
+	t := &d.doc.Targets[i]
+	if t.Target == "" {
+		return
+	}
+	if leaving := c.leavingNow(i); leaving != t.Leaving {
+		t.Leaving = leaving
+		d.changed = true
+	}
+	row := c.fleetRow(t.Target)
+	listed := row != nil && row.State != place.Absent
+	state := &c.targets[i]
+	silent := c.now.Sub(latest(state.answered, c.leadSince)) > memberForget
+	if c.fleetSeen && !listed && silent && !d.uses(i) {
+		*t = TargetDoc{}
+		d.changed = true
+	}
+}
+
+// uses reports whether any row names the target.
+func (d *draft) uses(i TargetIndex) bool {
+	return slices.ContainsFunc(d.doc.Rows, func(r Row) bool { return r.Owner == i || r.Standby == i })
+}
+
+// resolveDoubts writes what the inventories after a change of lead showed.
+func (c *Cell) resolveDoubts(d *draft) {
+	for i := range c.rows {
+		if !c.rows[i].doubt {
+			continue
+		}
+		r := c.doc.Rows[i]
+		switch v := c.judge(i); v.kind {
+		case atStandby:
+			d.reassign(c, i, r.Standby, v.epoch, grant.Lapsed{Since: c.now})
+			d.doc.Rows[i].Standby = r.Owner
+		case ownerNewer:
+			d.reassign(c, i, r.Owner, v.epoch, grant.Released{Epoch: r.Epoch})
+		}
+	}
+}
+
+// moveRows gives shards whose old owner's grant has ended to new owners.
+func (c *Cell) moveRows(d *draft) {
+	lapsed := make(map[TargetIndex]bool)
+	for i := range c.targets {
+		t := &c.targets[i]
+		lapsed[TargetIndex(i)] = t.target != "" && !c.answering(t) && c.ended(t)
+	}
+	for i := range c.rows {
+		s := &c.rows[i]
+		r := d.doc.Rows[i]
+		if s.doubt || s.active != nil || s.giving || r.Epoch != c.doc.Rows[i].Epoch {
+			continue
+		}
+		var e grant.Evidence
+		switch {
+		case r.Owner == NoTarget:
+			e = grant.Released{Epoch: r.Epoch}
+		case lapsed[r.Owner]:
+			e = c.lapseEvidence(r.Owner)
+		case s.releasing:
+			e = c.releaseEvidence(i)
+		}
+		if e != nil {
+			c.moveRow(d, i, e)
+		}
+	}
+}
+
+func (c *Cell) lapseEvidence(t TargetIndex) grant.Evidence {
+	if l, lost := c.targetLost(c.targets[t].target); lost {
+		return grant.Declared{By: l.By, Reason: l.Reason}
+	}
+	return grant.Lapsed{Since: c.quietAt(&c.targets[t])}
+}
+
+// moveRow picks the new owner of a row whose old owner is done.
+func (c *Cell) moveRow(d *draft, i int, e grant.Evidence) {
+	r := d.doc.Rows[i]
+	to := NoTarget
+	if s := &c.rows[i]; s.releasing && s.to != NoTarget && c.eligible(s.to) {
+		to = s.to
+	}
+	if to == NoTarget {
+		to = d.pick(r.Shard, func(t TargetIndex) bool { return int(t) < len(c.targets) && c.eligible(t) })
+	}
+	if to == NoTarget {
+		return
+	}
+	d.reassign(c, i, to, c.nextEpoch(i, to), e)
+}
+
+// nextEpoch returns the lowest epoch above all that are known of the shard.
+func (c *Cell) nextEpoch(i int, to TargetIndex) grant.Epoch {
+	r := c.row(i)
+	top := r.Epoch
+	for _, t := range []TargetIndex{r.Owner, r.Standby, to} {
+		if t != NoTarget && int(t) < len(c.targets) {
+			top = max(top, c.targets[t].floor(r.Shard))
+		}
+	}
+	return top + 1
+}
+
+// releaseEvidence returns proof that the owner gave the shard up: its floor
+// is above the epoch, and it does not hold the shard any more.
+func (c *Cell) releaseEvidence(i int) grant.Evidence {
+	r, s := c.doc.Rows[i], &c.rows[i]
+	t := &c.targets[r.Owner]
+	if t.inventoryTerm != c.term || t.inventoryAt.Before(s.releaseAt) {
+		return nil
+	}
+	if t.floor(r.Shard) <= r.Epoch || t.holds(r.Shard) != 0 || !c.parentEnded(r) {
+		return nil
+	}
+	if was := c.doc.Targets[r.Owner].Incarnation; was != 0 && was != t.incarnation {
+		return grant.Restarted{Old: was, New: t.incarnation}
+	}
+	return grant.Released{Epoch: r.Epoch}
+}
+
+// parentEnded reports, for a solo key, whether its owner has also given up the
+// parent shard at the epochs that still included the key.
+func (c *Cell) parentEnded(r Row) bool {
+	i := slices.IndexFunc(c.doc.Solos, func(s Solo) bool { return s.Shard == r.Shard })
+	if i < 0 || c.knobs.noParentCheck {
+		return true
+	}
+	solo := c.doc.Solos[i]
+	t := &c.targets[r.Owner]
+	return t.holds(solo.Parent) >= solo.Cut || t.holds(solo.Parent) == 0 && t.floor(solo.Parent) >= solo.Cut
+}
+
+// raiseEpochs follows an owner that refuses the recorded epoch, because an
+// earlier lead released the shard there without recording it.
+func (c *Cell) raiseEpochs(d *draft) {
+	for i := range c.rows {
+		r, s := c.doc.Rows[i], &c.rows[i]
+		if r.Owner == NoTarget || s.doubt || s.releasing || s.active != nil || d.doc.Rows[i].Epoch != r.Epoch {
+			continue
+		}
+		t := &c.targets[r.Owner]
+		if t.inventoryTerm == c.term && t.floor(r.Shard) > r.Epoch {
+			d.reassign(c, i, r.Owner, t.floor(r.Shard)+1, grant.Released{Epoch: r.Epoch})
+		}
+	}
+}
+
+// refreshStandbys replaces standbys that can't take over.
+func (c *Cell) refreshStandbys(d *draft) {
+	may := func(t TargetIndex) bool { return int(t) < len(c.targets) && c.eligible(t) }
+	for i := range c.rows {
+		r := &d.doc.Rows[i]
+		if c.rows[i].doubt || c.rows[i].active != nil {
+			continue
+		}
+		if r.Standby != NoTarget && r.Standby != r.Owner && c.keepsStandby(r.Standby) {
+			continue
+		}
+		standby := d.standbyFor(r.Shard, r.Owner, may)
+		if standby != r.Standby && (standby != NoTarget || r.Standby == r.Owner || d.changed) {
+			r.Standby = standby
+			d.changed = true
+		}
+	}
+}
+
+// keepsStandby reports whether the target may stay a standby: a short silence
+// is no reason to write.
+func (c *Cell) keepsStandby(i TargetIndex) bool {
+	t := &c.targets[i]
+	_, lost := c.targetLost(t.target)
+	silent := c.now.Sub(latest(t.answered, c.leadSince)) > memberSilence
+	return t.target != "" && !lost && !silent && !c.leavingNow(i)
+}
+
+// clearRemoved forgets removed hosts that every target refuses by now, or
+// that promise to this term: those don't lead at an older one any more.
+func (c *Cell) clearRemoved(d *draft) {
+	d.doc.Removed = slices.DeleteFunc(d.doc.Removed, func(r RemovedHost) bool {
+		if m := c.mate(r.Host); m != nil && c.good(m) {
+			d.changed = true
+			return true
+		}
+		for i := range c.targets {
+			if t := &c.targets[i]; t.target != "" && !c.fenced(t, r.Term) {
+				return false
+			}
+		}
+		d.changed = true
+		return true
+	})
+}
--- /dev/null
+++ b/internal/cell/membership.go
@@ -0,0 +1,91 @@
+package cell
+
+import (
+	"slices"
+
+	"citrontray.example/citrontray/internal/place"
+)
+
+// changeRoster drops roster hosts that are silent or gone and lets others
+// join. Each change raises the term and asks for all promises anew, which
+// delays lapse; so it waits until no target that owns shards is silent.
+func (c *Cell) changeRoster() {
+	if !c.calm() {
+		return
+	}
+	roster, removed := c.nextRoster()
+	if slices.Equal(roster, c.doc.Roster) {
+		return
+	}
+	d := c.doc.clone()
+	d.Term = c.knownTerm() + 1
+	d.Roster = roster
+	d.Removed = slices.DeleteFunc(d.Removed, func(r RemovedHost) bool { return slices.Contains(roster, r.Host) })
+	for _, h := range removed {
+		d.Removed = append(d.Removed, RemovedHost{Host: h, Term: d.Term})
+	}
+	if len(d.Removed) <= maxRemoved {
+		c.propose(d)
+	}
+}
+
+// calm reports whether all rows are settled and their owners answer.
+func (c *Cell) calm() bool {
+	for i := range c.rows {
+		s := &c.rows[i]
+		if s.doubt || s.releasing || s.active != nil || s.intent != nil {
+			return false
+		}
+		if o := c.doc.Rows[i].Owner; o != NoTarget && !c.answering(&c.targets[o]) {
+			return false
+		}
+	}
+	return true
+}
+
+// nextRoster returns the roster after the next change and who leaves it.
+func (c *Cell) nextRoster() (roster, removed []place.Host) {
+	for _, h := range c.doc.Roster {
+		if c.staysOnRoster(h) {
+			roster = append(roster, h)
+		} else {
+			removed = append(removed, h)
+		}
+	}
+	for i := range c.mates {
+		m := &c.mates[i]
+		if !m.member && len(roster) < maxRoster && c.good(m) && m.revision == c.revision {
+			roster = append(roster, m.host)
+		}
+	}
+	return roster, removed
+}
+
+func (c *Cell) staysOnRoster(h place.Host) bool {
+	if h == c.cfg.Self {
+		return true
+	}
+	m := c.mate(h)
+	if m == nil || c.hostLost(h) {
+		return false
+	}
+	if c.now.Sub(latest(m.until, c.leadSince)) > memberSilence {
+		return false
+	}
+	i := slices.IndexFunc(c.fleet.Hosts, func(r place.HostRow) bool { return r.Host == h })
+	return i < 0 || c.fleet.Hosts[i].State != place.Leaving
+}
+
+// adoptRoster takes up a roster that this lead wrote: promises to the term
+// before count no more.
+func (c *Cell) adoptRoster() {
+	c.term = c.doc.Term
+	c.leadSince = c.now
+	for i := range c.mates {
+		c.mates[i].forget()
+	}
+	c.heartbeatDue = c.now
+	for i := range c.targets {
+		c.targets[i].due = c.now
+	}
+}
--- /dev/null
+++ b/internal/cell/publish.go
@@ -0,0 +1,144 @@
+package cell
+
+import (
+	"time"
+
+	"citrontray.example/citrontray/internal/grant"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/table"
+)
+
+// publish hands the routing table out after each change, while leading.
+func (c *Cell) publish() {
+	if !c.leading() || !c.dirty {
+		return
+	}
+	c.dirty = false
+	c.published++
+	c.emit(Publish{Table: c.table()})
+}
+
+// table returns the routing table: an owner is named once it has confirmed
+// its grant, and until it is asked to release the shard.
+func (c *Cell) table() table.Table {
+	t := table.Table{
+		Service: c.cfg.ID.Service, Zone: c.cfg.ID.Zone,
+		Version: table.Version{Term: c.doc.Term, Sequence: c.published},
+		Lead:    c.cfg.Self, LeadAddr: c.cfg.SelfAddr, Shards: c.cfg.Shards,
+		Targets: make([]table.Target, 0, len(c.doc.Targets)),
+		Rows:    make([]table.Row, 0, len(c.doc.Rows)),
+	}
+	for _, m := range c.doc.Targets {
+		t.Targets = append(t.Targets, table.Target{Target: m.Target, Addr: m.Addr, Leaving: m.Leaving, Since: m.Since})
+	}
+	for i := range c.doc.Rows {
+		r := c.row(i)
+		row := table.Row{Shard: r.Shard, Epoch: r.Epoch, Owner: table.None}
+		if c.rows[i].served && r.Owner != NoTarget {
+			row.Owner = table.Index(r.Owner)
+		}
+		t.Rows = append(t.Rows, row)
+	}
+	for _, s := range c.doc.Solos {
+		t.Solos = append(t.Solos, table.Solo{Hash: s.Hash, Shard: s.Shard})
+	}
+	return t
+}
+
+// Status is what operators see of one host's part in a cell.
+type Status struct {
+	ID        ID
+	Role      string
+	Term      grant.Term
+	Lead      place.Host
+	Roster    []place.Host
+	Removed   []RemovedHost
+	LeaseHeld bool
+	// MayRenew tells whether this host may lengthen grants now.
+	MayRenew bool
+	// StoreSilent is the time since the newest call that reached the store;
+	// zero while none was made.
+	StoreSilent time.Duration
+	Promises    []PromiseStatus
+	Targets     []TargetStatus
+	Rows        int
+	Doubts      []DoubtStatus
+	Releasing   []key.Shard
+	Activated   []Intent
+	Moves       []Move
+	Given       []Given
+}
+
+// PromiseStatus is the promise of one roster host, as the lead counts it.
+type PromiseStatus struct {
+	Host   place.Host
+	Left   time.Duration
+	Member bool
+}
+
+// TargetStatus is one target, as this host sees it.
+type TargetStatus struct {
+	Target   place.Target
+	Rows     int
+	Answered time.Time
+	Leaving  bool
+}
+
+// DoubtStatus is one shard that may not be moved yet, and why.
+type DoubtStatus struct {
+	Shard  key.Shard
+	Owner  place.Target
+	Reason string
+}
+
+// Status returns this host's view of the cell.
+func (c *Cell) Status(now time.Time) Status {
+	s := Status{
+		ID: c.cfg.ID, Role: c.role.String(), Term: c.doc.Term, Lead: c.doc.Lead,
+		Roster: c.doc.Roster, Removed: c.doc.Removed,
+		LeaseHeld: c.leading() && now.Before(c.lease.until),
+		MayRenew:  (c.leading() || c.role == deputy) && c.mayRenew(),
+		Rows:      len(c.doc.Rows), Moves: c.doc.Moves, Given: c.doc.Given,
+	}
+	if !c.lease.contact.IsZero() {
+		s.StoreSilent = now.Sub(c.lease.contact)
+	}
+	for _, m := range c.mates {
+		s.Promises = append(s.Promises, PromiseStatus{Host: m.host, Left: max(m.until.Sub(now), 0), Member: m.member})
+	}
+	for i, t := range c.targets {
+		s.Targets = append(s.Targets, TargetStatus{Target: t.target, Answered: t.answered, Leaving: c.doc.Targets[i].Leaving})
+	}
+	c.rowStatus(&s)
+	return s
+}
+
+func (c *Cell) rowStatus(s *Status) {
+	for i := range c.rows {
+		r, state := c.row(i), &c.rows[i]
+		if r.Owner != NoTarget {
+			s.Targets[r.Owner].Rows++
+		}
+		if state.releasing {
+			s.Releasing = append(s.Releasing, r.Shard)
+		}
+		if state.active != nil {
+			s.Activated = append(s.Activated, *state.active)
+		}
+		if state.doubt && r.Owner != NoTarget {
+			s.Doubts = append(s.Doubts, DoubtStatus{Shard: r.Shard, Owner: c.targets[r.Owner].target, Reason: c.doubtReason(i)})
+		}
+	}
+}
+
+func (c *Cell) doubtReason(i int) string {
+	r := c.doc.Rows[i]
+	switch c.judge(i).kind {
+	case waitsOwner:
+		return "owner " + string(c.targets[r.Owner].target) + " was not reached since the change of lead"
+	case waitsStandby:
+		return "standby " + string(c.targets[r.Standby].target) + " was not reached since the change of lead"
+	}
+	return "to be recorded"
+}
--- /dev/null
+++ b/internal/cell/weigh.go
@@ -0,0 +1,29 @@
+package cell
+
+import (
+	"cmp"
+
+	"github.com/cespare/xxhash/v2"
+
+	"citrontray.example/citrontray/internal/key"
+)
+
+// weigh is the weight of rendezvous hashing: the highest one wins.
+func weigh(parts ...string) uint64 {
+	d := xxhash.New()
+	for _, p := range parts {
+		_, _ = d.WriteString(p)
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
+// weighShard is weigh for a shard at a target, without formatting numbers.
+func weighShard(shard key.Shard, target string) uint64 {
+	h := xxhash.Sum64String(target) ^ uint64(shard)*0x9e3779b97f4a7c15
+	h = (h ^ (h >> 30)) * 0xbf58476d1ce4e5b9
+	h = (h ^ (h >> 27)) * 0x94d049bb133111eb
+	return h ^ (h >> 31)
+}
+
+func compareDown(a, b uint64) int { return cmp.Compare(b, a) }
--- /dev/null
+++ b/internal/cell/wire.go
@@ -0,0 +1,273 @@
+package cell
+
+import (
+	"net/netip"
+	"time"
+
+	"citrontray.example/citrontray/internal/grant"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/platform"
+)
+
+type wireDoc struct {
+	_           struct{} `cbor:",toarray"`
+	Service     string
+	Zone        string
+	Term        uint64
+	Lead        string
+	LeadAddr    string
+	Incarnation uint64
+	WriteID     string
+	Roster      []string
+	Removed     []wireRemoved
+	Targets     []wireTarget
+	Rows        []wireRow
+	Solos       []wireSolo
+	NextSolo    uint32
+	Given       []wireGiven
+	Custody     uint64
+	Moves       []wireMove
+}
+
+type wireRemoved struct {
+	_    struct{} `cbor:",toarray"`
+	Host string
+	Term uint64
+}
+
+type wireTarget struct {
+	_           struct{} `cbor:",toarray"`
+	Target      string
+	Addr        string
+	Leaving     bool
+	Since       int64
+	Incarnation uint64
+}
+
+type wireRow struct {
+	_       struct{} `cbor:",toarray"`
+	Shard   uint32
+	Epoch   uint64
+	Owner   uint16
+	Standby uint16
+}
+
+type wireSolo struct {
+	_      struct{} `cbor:",toarray"`
+	Hash   uint64
+	Shard  uint32
+	Parent uint32
+	Cut    uint64
+}
+
+type wireGiven struct {
+	_        struct{} `cbor:",toarray"`
+	Shard    uint32
+	Floor    uint64
+	Evidence wireEvidence
+}
+
+type wireMove struct {
+	_        struct{} `cbor:",toarray"`
+	At       int64
+	Shard    uint32
+	Epoch    uint64
+	From     string
+	To       string
+	Evidence wireEvidence
+}
+
+// The kinds of wireEvidence.
+const (
+	wireNone = iota
+	wireReleased
+	wireLapsed
+	wireRestarted
+	wireDeclared
+)
+
+// wireEvidence holds any evidence; Kind tells which fields count.
+type wireEvidence struct {
+	_      struct{} `cbor:",toarray"`
+	Kind   uint8
+	First  uint64
+	Second uint64
+	By     string
+	Reason string
+}
+
+func docToWire(d Doc) wireDoc {
+	w := wireDoc{
+		Service:     string(d.ID.Service),
+		Zone:        string(d.ID.Zone),
+		Term:        uint64(d.Term),
+		Lead:        string(d.Lead),
+		LeadAddr:    addrText(d.LeadAddr),
+		Incarnation: uint64(d.LeadIncarnation),
+		WriteID:     d.WriteID,
+		NextSolo:    uint32(d.NextSolo),
+		Custody:     uint64(d.Custody),
+	}
+	for _, h := range d.Roster {
+		w.Roster = append(w.Roster, string(h))
+	}
+	for _, r := range d.Removed {
+		w.Removed = append(w.Removed, wireRemoved{Host: string(r.Host), Term: uint64(r.Term)})
+	}
+	for _, t := range d.Targets {
+		w.Targets = append(w.Targets, targetToWire(t))
+	}
+	for _, r := range d.Rows {
+		w.Rows = append(w.Rows, wireRow{
+			Shard: uint32(r.Shard), Epoch: uint64(r.Epoch),
+			Owner: uint16(r.Owner), Standby: uint16(r.Standby),
+		})
+	}
+	for _, s := range d.Solos {
+		w.Solos = append(w.Solos, wireSolo{
+			Hash: uint64(s.Hash), Shard: uint32(s.Shard),
+			Parent: uint32(s.Parent), Cut: uint64(s.Cut),
+		})
+	}
+	for _, g := range d.Given {
+		w.Given = append(w.Given, wireGiven{
+			Shard: uint32(g.Shard), Floor: uint64(g.Floor), Evidence: evidenceToWire(g.Evidence),
+		})
+	}
+	for _, m := range d.Moves {
+		w.Moves = append(w.Moves, moveToWire(m))
+	}
+	return w
+}
+
+func docFromWire(w wireDoc) Doc {
+	d := Doc{
+		ID:              ID{Service: key.Service(w.Service), Zone: place.Zone(w.Zone)},
+		Term:            grant.Term(w.Term),
+		Lead:            place.Host(w.Lead),
+		LeadAddr:        addrOf(w.LeadAddr),
+		LeadIncarnation: place.Incarnation(w.Incarnation),
+		WriteID:         w.WriteID,
+		NextSolo:        key.Shard(w.NextSolo),
+		Custody:         platform.Revision(w.Custody),
+	}
+	for _, h := range w.Roster {
+		d.Roster = append(d.Roster, place.Host(h))
+	}
+	for _, r := range w.Removed {
+		d.Removed = append(d.Removed, RemovedHost{Host: place.Host(r.Host), Term: grant.Term(r.Term)})
+	}
+	for _, t := range w.Targets {
+		d.Targets = append(d.Targets, targetFromWire(t))
+	}
+	for _, r := range w.Rows {
+		d.Rows = append(d.Rows, Row{
+			Shard: key.Shard(r.Shard), Epoch: grant.Epoch(r.Epoch),
+			Owner: TargetIndex(r.Owner), Standby: TargetIndex(r.Standby),
+		})
+	}
+	for _, s := range w.Solos {
+		d.Solos = append(d.Solos, Solo{
+			Hash: key.Hash(s.Hash), Shard: key.Shard(s.Shard),
+			Parent: key.Shard(s.Parent), Cut: grant.Epoch(s.Cut),
+		})
+	}
+	for _, g := range w.Given {
+		d.Given = append(d.Given, Given{
+			Shard: key.Shard(g.Shard), Floor: grant.Epoch(g.Floor), Evidence: evidenceFromWire(g.Evidence),
+		})
+	}
+	for _, m := range w.Moves {
+		d.Moves = append(d.Moves, moveFromWire(m))
+	}
+	return d
+}
+
+func targetToWire(t TargetDoc) wireTarget {
+	return wireTarget{
+		Target: string(t.Target), Addr: addrText(t.Addr), Leaving: t.Leaving,
+		Since: timeToWire(t.Since), Incarnation: uint64(t.Incarnation),
+	}
+}
+
+func targetFromWire(w wireTarget) TargetDoc {
+	return TargetDoc{
+		Target: place.Target(w.Target), Addr: addrOf(w.Addr), Leaving: w.Leaving,
+		Since: timeFromWire(w.Since), Incarnation: place.Incarnation(w.Incarnation),
+	}
+}
+
+func moveToWire(m Move) wireMove {
+	return wireMove{
+		At: timeToWire(m.At), Shard: uint32(m.Shard), Epoch: uint64(m.Epoch),
+		From: string(m.From), To: string(m.To), Evidence: evidenceToWire(m.Evidence),
+	}
+}
+
+func moveFromWire(w wireMove) Move {
+	return Move{
+		At: timeFromWire(w.At), Shard: key.Shard(w.Shard), Epoch: grant.Epoch(w.Epoch),
+		From: place.Target(w.From), To: place.Target(w.To), Evidence: evidenceFromWire(w.Evidence),
+	}
+}
+
+func evidenceToWire(e grant.Evidence) wireEvidence {
+	switch e := e.(type) {
+	case grant.Released:
+		return wireEvidence{Kind: wireReleased, First: uint64(e.Epoch)}
+	case grant.Lapsed:
+		return wireEvidence{Kind: wireLapsed, First: uint64(timeToWire(e.Since))}
+	case grant.Restarted:
+		return wireEvidence{Kind: wireRestarted, First: uint64(e.Old), Second: uint64(e.New)}
+	case grant.Declared:
+		return wireEvidence{Kind: wireDeclared, By: e.By, Reason: e.Reason}
+	}
+	return wireEvidence{}
+}
+
+func evidenceFromWire(w wireEvidence) grant.Evidence {
+	switch w.Kind {
+	case wireReleased:
+		return grant.Released{Epoch: grant.Epoch(w.First)}
+	case wireLapsed:
+		return grant.Lapsed{Since: timeFromWire(int64(w.First))}
+	case wireRestarted:
+		return grant.Restarted{Old: place.Incarnation(w.First), New: place.Incarnation(w.Second)}
+	case wireDeclared:
+		return grant.Declared{By: w.By, Reason: w.Reason}
+	}
+	return nil
+}
+
+// addrText returns the empty text for the zero address.
+func addrText(a netip.AddrPort) string {
+	if !a.IsValid() {
+		return ""
+	}
+	return a.String()
+}
+
+// addrOf returns the zero address for a text that is none.
+func addrOf(text string) netip.AddrPort {
+	a, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return a
+}
+
+// timeToWire returns nanoseconds since 1970 in UTC; zero for the zero time.
+func timeToWire(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
+func timeFromWire(n int64) time.Time {
+	if n == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, n).UTC()
+}
--- /dev/null
+++ b/internal/table/codec.go
@@ -0,0 +1,134 @@
+package table
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/samber/oops"
+
+	"citrontray.example/citrontray/internal/grant"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/place"
+)
+
+type wireTable struct {
+	_        struct{} `cbor:",toarray"`
+	Service  string
+	Zone     string
+	Term     uint64
+	Sequence uint64
+	Lead     string
+	LeadAddr string
+	Shards   uint32
+	Targets  []wireTarget
+	// Rows holds shard, epoch and owner of each row, one after the other;
+	// shards as the difference to the row before.
+	Rows  []uint64
+	Solos []uint64 // hash and shard of each solo key, one after the other
+}
+
+type wireTarget struct {
+	_       struct{} `cbor:",toarray"`
+	Target  string
+	Addr    string
+	Leaving bool
+	Since   int64
+}
+
+// The numbers per entry of wireTable.Rows and wireTable.Solos.
+const (
+	rowNumbers  = 3
+	soloNumbers = 2
+)
+
+// Encode returns the table as it travels between hosts.
+func Encode(t Table) ([]byte, error) {
+	w := wireTable{
+		Service: string(t.Service), Zone: string(t.Zone),
+		Term: uint64(t.Version.Term), Sequence: t.Version.Sequence,
+		Lead: string(t.Lead), LeadAddr: addrText(t.LeadAddr), Shards: uint32(t.Shards),
+		Rows: make([]uint64, 0, rowNumbers*len(t.Rows)),
+	}
+	for _, target := range t.Targets {
+		w.Targets = append(w.Targets, targetToWire(target))
+	}
+	last := key.Shard(0)
+	for _, r := range t.Rows {
+		w.Rows = append(w.Rows, uint64(r.Shard-last), uint64(r.Epoch), uint64(r.Owner))
+		last = r.Shard
+	}
+	for _, s := range t.Solos {
+		w.Solos = append(w.Solos, uint64(s.Hash), uint64(s.Shard))
+	}
+	data, err := cbor.Marshal(w)
+	return data, oops.Wrapf(err, "encode table")
+}
+
+// Decode reads what Encode wrote. It returns an error for anything else;
+// owners of a decoded table are None or indexes into its targets.
+func Decode(data []byte) (Table, error) {
+	var w wireTable
+	if err := cbor.Unmarshal(data, &w); err != nil {
+		return Table{}, oops.Wrapf(err, "decode table")
+	}
+	if len(w.Rows)%rowNumbers != 0 || len(w.Solos)%soloNumbers != 0 {
+		return Table{}, oops.Errorf("decode table: cut rows")
+	}
+	t := Table{
+		Service: key.Service(w.Service), Zone: place.Zone(w.Zone),
+		Version: Version{Term: grant.Term(w.Term), Sequence: w.Sequence},
+		Lead:    place.Host(w.Lead), LeadAddr: addrOf(w.LeadAddr), Shards: key.ShardCount(w.Shards),
+	}
+	for _, target := range w.Targets {
+		t.Targets = append(t.Targets, targetFromWire(target))
+	}
+	for i := 0; i < len(w.Solos); i += soloNumbers {
+		t.Solos = append(t.Solos, Solo{Hash: key.Hash(w.Solos[i]), Shard: key.Shard(w.Solos[i+1])})
+	}
+	return t, t.rowsFromWire(w.Rows)
+}
+
+func (t *Table) rowsFromWire(rows []uint64) error {
+	last := key.Shard(0)
+	for i := 0; i < len(rows); i += rowNumbers {
+		last += key.Shard(rows[i])
+		owner := Index(rows[i+2])
+		if rows[i+2] > uint64(None) || owner != None && int(owner) >= len(t.Targets) {
+			return oops.Errorf("decode table: shard %d names an unknown target", last)
+		}
+		t.Rows = append(t.Rows, Row{Shard: last, Epoch: grant.Epoch(rows[i+1]), Owner: owner})
+	}
+	return nil
+}
+
+func targetToWire(t Target) wireTarget {
+	w := wireTarget{Target: string(t.Target), Addr: addrText(t.Addr), Leaving: t.Leaving}
+	if !t.Since.IsZero() {
+		w.Since = t.Since.UnixNano()
+	}
+	return w
+}
+
+func targetFromWire(w wireTarget) Target {
+	t := Target{Target: place.Target(w.Target), Addr: addrOf(w.Addr), Leaving: w.Leaving}
+	if w.Since != 0 {
+		t.Since = time.Unix(0, w.Since).UTC()
+	}
+	return t
+}
+
+func addrText(a netip.AddrPort) string {
+	if !a.IsValid() {
+		return ""
+	}
+	return a.String()
+}
+
+func addrOf(text string) netip.AddrPort {
+	a, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return a
+}
