--- a/Makefile
+++ b/Makefile
@@ -47,5 +47,8 @@
 		echo "# $$scenario $$preset"; scripts/bench.sh $$scenario $$preset || status=1; \
 	done; done; exit $$status
 
+capacity: build ## measure the slopes behind docs/CAPACITY.md
+	@scripts/capacity.sh
+
 clean: ## remove what the targets made
 	rm -rf bin out
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -12,6 +12,9 @@
 // Name names a scenario.
 type Name string
 
+// Idle is the scenario without load, for measuring slopes.
+const Idle Name = "idle"
+
 // Scenario is one run: the load goes on for Length, steps happen on the way.
 type Scenario struct {
 	Name   Name
@@ -142,6 +145,10 @@
 			Length: 8 * time.Second, Load: 0.1,
 			Steps: []Step{{4 * time.Second, KillTarget{0}}},
 		},
+		{
+			Name: Idle, About: "no load: what control costs by itself",
+			Length: 10 * time.Second,
+		},
 		{
 			Name: "steady", About: "an even load, no faults",
 			Length: 15 * time.Second, Load: baseLoad,
--- a/internal/lab/preset.go
+++ b/internal/lab/preset.go
@@ -27,7 +27,9 @@
 func (*presetCommand) Synopsis() string { return "print the settings file of a preset" }
 
 // Usage implements subcommands.Command.
-func (*presetCommand) Usage() string { return "preset --name agency|consortium\n" }
+func (*presetCommand) Usage() string {
+	return "preset --name agency|consortium|SERVICESxTARGETSxSHARDS\n"
+}
 
 // SetFlags implements subcommands.Command.
 func (c *presetCommand) SetFlags(f *flag.FlagSet) {
@@ -45,8 +47,11 @@
 	return o.exit(err)
 }
 
-// getPreset returns a preset, or a finding.
+// getPreset returns a preset or a sized deployment, or a finding.
 func getPreset(name string) (preset.Preset, error) {
+	if p, ok := sized(name); ok {
+		return p, nil
+	}
 	p, err := preset.Get(preset.Name(name))
 	if err != nil {
 		var findings finding.List
--- /dev/null
+++ b/internal/lab/sized.go
@@ -0,0 +1,48 @@
+package lab
+
+import (
+	"fmt"
+	"strings"
+
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/preset"
+)
+
+// The bounds of a sized deployment.
+const (
+	maxServices = 64
+	maxTargets  = 1000
+)
+
+// sized returns a deployment of a size for measuring slopes. Its name is
+// SERVICESxTARGETSxSHARDS, each service with that many targets and shards.
+func sized(name string) (preset.Preset, bool) {
+	var services, targets, shards int
+	n, err := fmt.Sscanf(name, "%dx%dx%d", &services, &targets, &shards)
+	if err != nil || n != 3 || services < 1 || services > maxServices || targets < 1 || targets > maxTargets {
+		return preset.Preset{}, false
+	}
+	p := preset.Preset{
+		Name:   preset.Name(name),
+		Region: "region",
+		Zones:  []place.Zone{"region-a", "region-b", "region-c"},
+		Hosts:  3,
+	}
+	var file strings.Builder
+	for i := range services {
+		service := fmt.Sprintf("service%d", i+1)
+		p.Services = append(p.Services, preset.Service{Name: key.Service(service), Targets: targets})
+		fmt.Fprintf(&file, sizedService, service, shards)
+	}
+	p.File = []byte(file.String())
+	return p, true
+}
+
+// sizedService is the settings of one service: its name, its shards.
+const sizedService = `teams/sized/services/%s:
+  zones: [region-a, region-b, region-c]
+  shards: %d
+  slots: 3
+  connections: 130
+`
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -61,8 +61,9 @@
 case $PRESET in
   agency) RACE_PATH=teams/agency/limits/portal/interactive ;;
   consortium) RACE_PATH=teams/mesa/limits/mesa-crews/interactive ;;
+  [0-9]*x[0-9]*x[0-9]*) RACE_PATH= ;;
   *)
-    echo "PRESET: there is no preset $PRESET (agency or consortium)" >&2
+    echo "PRESET: there is no preset $PRESET (agency, consortium or SERVICESxTARGETSxSHARDS)" >&2
     exit 2
     ;;
 esac
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -4,20 +4,19 @@
 #
 # Needs: BIN (binaries), RUN (directory of this run), PRESET, HOSTS (number).
 
-ZONES_agency="anadolu-a anadolu-b anadolu-c"
-ZONES_consortium="ng-southwest-a ng-southwest-b ng-southwest-c"
-REGION_agency="anadolu"
-REGION_consortium="ng-southwest"
-
 # STOP_SECONDS bounds the planned stop of one process.
 STOP_SECONDS=20
 
 # plan_hosts writes RUN/hosts: name, zone and five addresses a line, and
 # chooses the platform's address.
 plan_hosts() {
-  local zones region=REGION_$PRESET zoneset=ZONES_$PRESET ports i at=1
-  read -r -a zones <<<"${!zoneset}"
-  REGION=${!region}
+  local zones ports i at=1
+  case $PRESET in
+    agency) REGION=anadolu ;;
+    consortium) REGION=ng-southwest ;;
+    *) REGION=region ;;
+  esac
+  zones=("$REGION-a" "$REGION-b" "$REGION-c")
   mapfile -t ports < <("$BIN/citrontray-lab" ports --count $((1 + 5 * HOSTS)))
   PLATFORM=127.0.0.1:${ports[0]}
   : >"$RUN/hosts"
