--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"citrontray.example/citrontray/internal/forward"
 	"citrontray.example/citrontray/internal/metric"
 	"citrontray.example/citrontray/internal/outcome"
+	"citrontray.example/citrontray/internal/peer"
 	"citrontray.example/citrontray/internal/queue"
 	"citrontray.example/citrontray/internal/route"
 	"citrontray.example/citrontray/internal/settings"
@@ -27,8 +28,10 @@
 	Board          spread.Board
 	DecodeSettings func([]byte) (*settings.Settings, error)
 	DecodeTable    func([]byte) (*table.Table, error)
-	Log            *slog.Logger
-	Registry       *metric.Registry
+	// Link carries load reports to leads; nil sends none.
+	Link     peer.Link
+	Log      *slog.Logger
+	Registry *metric.Registry
 	// Dial opens connections to targets; nil stands for TCP.
 	Dial forward.Dial
 	// Hosts is the number of entry hosts that share each target's connections.
--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -55,8 +55,8 @@
 	closed bool
 }
 
-// signal is what a waiting request hears from its lane.
-type signal interface{ signal() }
+// event is what a waiting request hears from its lane.
+type event interface{ event() }
 
 // granted: the request holds a slot. moved: its shard has another owner.
 // dropped: it left the queue and did not run.
@@ -66,9 +66,9 @@
 	dropped struct{ failure outcome.NotRunFailure }
 )
 
-func (granted) signal() {}
-func (moved) signal()   {}
-func (dropped) signal() {}
+func (granted) event() {}
+func (moved) signal()  {}
+func (dropped) event() {}
 
 func newLane(e *Entry, row *table.Target, cfg *settings.Service) *lane {
 	limit := max(cfg.Connections/max(e.cfg.Hosts, 1), cfg.Slots, 1)
@@ -109,7 +109,7 @@
 }
 
 // enter gives the request a slot, or queues it, or drops it.
-func (l *lane) enter(now time.Time, w *work) signal {
+func (l *lane) enter(now time.Time, w *work) event {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
@@ -193,7 +193,7 @@
 }
 
 // leave takes a request out of the queue; it reports false where the request
-// was handed a signal before.
+// was handed an event before.
 func (l *lane) leave(w *work) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -91,7 +91,7 @@
 	if bound <= 0 {
 		bound = defaultBody
 	}
-	w := &work{Match: m, hash: key.HashOf(m.Key), deadline: now.Add(timeout), wake: make(chan signal, 1)}
+	w := &work{Match: m, hash: key.HashOf(m.Key), deadline: now.Add(timeout), wake: make(chan event, 1)}
 	w.request = forward.Request{
 		ID:       e.ids.next(),
 		Method:   r.Method,
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -37,7 +37,7 @@
 	deadline time.Time
 	// parkUntil bounds the waiting for an owner.
 	parkUntil time.Time
-	wake      chan signal
+	wake      chan event
 	ticket    queue.Ticket
 	// returned tells that the request held a slot before and did not run.
 	returned bool
@@ -131,7 +131,7 @@
 
 // await waits for a slot of the lane. On every way out but granted the
 // request is out of the queue and did not run.
-func (e *Entry) await(ctx context.Context, l *lane, w *work) signal {
+func (e *Entry) await(ctx context.Context, l *lane, w *work) event {
 	now := time.Now()
 	if !w.deadline.After(now) {
 		return dropped{notRun(outcome.Deadline, retryAfter)}
