--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -67,7 +67,7 @@
 )
 
 func (granted) event() {}
-func (moved) signal()  {}
+func (moved) event()   {}
 func (dropped) event() {}
 
 func newLane(e *Entry, row *table.Target, cfg *settings.Service) *lane {
--- /dev/null
+++ b/internal/entry/soak_test.go
@@ -0,0 +1,402 @@
+package entry_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/entry"
+	"citrontray.example/citrontray/internal/grant"
+	"citrontray.example/citrontray/internal/journal"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/metric"
+	"citrontray.example/citrontray/internal/outcome"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/queue"
+	"citrontray.example/citrontray/internal/standin"
+	"citrontray.example/citrontray/internal/table"
+	"citrontray.example/citrontray/internal/target"
+)
+
+var (
+	soakRequests = flag.Int("soak.requests", 20_000, "requests of the at-most-once run")
+	soakSeed     = flag.Uint64("soak.seed", 1, "seed of the at-most-once run")
+	soakCallers  = flag.Int("soak.callers", 48, "callers at once")
+)
+
+const (
+	soakEntries = 3
+	soakTargets = 4
+	soakShards  = 16
+	soakGrant   = time.Minute
+)
+
+// soak is a run of many requests against targets that fail in all ways, while
+// shards move, with a count of the runs of each operation at the targets.
+type soak struct {
+	*testing.T
+	rand    *rand.Rand // of the disturber alone
+	board   *board
+	farm    *standin.Farm
+	control *target.HTTPControl
+	rows    map[key.Service][]table.Row
+	life    map[place.Target]place.Incarnation
+	servers []*httptest.Server
+	client  *http.Client
+
+	sent    atomic.Int64
+	ends    []soakEnd
+	wrong   atomic.Int64
+	rejoins atomic.Int64
+}
+
+// soakEnd is what the caller of one operation learned.
+type soakEnd uint8
+
+const (
+	endGone soakEnd = iota // the caller hung up
+	endDone
+	endNotRun
+	endUnknown
+	endNone // an answer without an outcome
+)
+
+func TestSoak(t *testing.T) {
+	s := newSoak(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var disturber, callers sync.WaitGroup
+	disturber.Go(func() { s.loopDisturb(ctx) })
+	for i := range *soakCallers {
+		callers.Go(func() { s.loopCall(rand.New(rand.NewPCG(*soakSeed, uint64(i)))) })
+	}
+	callers.Wait()
+	cancel()
+	disturber.Wait()
+	s.check()
+}
+
+func newSoak(t *testing.T) *soak {
+	s := &soak{
+		T: t, rand: rand.New(rand.NewPCG(*soakSeed, 1<<32)), board: newBoard(),
+		control: target.NewControl(time.Second),
+		rows:    map[key.Service][]table.Row{}, life: map[place.Target]place.Incarnation{},
+		ends: make([]soakEnd, *soakRequests),
+		client: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: *soakCallers, DisableCompression: true,
+		}},
+	}
+	var groups []standin.Group
+	for _, name := range []key.Service{balance, plan} {
+		groups = append(groups, standin.Group{Count: soakTargets, TargetConfig: standin.TargetConfig{
+			Service: name, Slots: 3, Connections: 110, Work: 500 * time.Microsecond, ChecksTerms: true,
+		}})
+	}
+	s.farm = standin.NewFarm(groups, []place.Zone{"zone-a"})
+	assert.NilError(t, s.farm.Start())
+	t.Cleanup(func() { s.farm.Stop(context.Background()) })
+	cfg := someSettings()
+	for i := range cfg.Services {
+		cfg.Services[i].Shards = soakShards
+	}
+	s.board.putSettings(cfg)
+	for _, name := range []key.Service{balance, plan} {
+		for shard := range key.Shard(soakShards) {
+			s.rows[name] = append(s.rows[name], table.Row{Shard: shard, Epoch: 1, Owner: table.Index(shard % soakTargets)})
+		}
+		s.grantAll(name)
+		s.publish(name)
+	}
+	for range soakEntries {
+		s.startEntry()
+	}
+	return s
+}
+
+func (s *soak) startEntry() {
+	e := entry.New(entry.Config{
+		Board: s.board, DecodeSettings: s.board.decodeSettings, DecodeTable: s.board.decodeTable,
+		Log: journal.Nop(), Registry: metric.New("test"), Hosts: soakEntries, Queue: queue.DefaultConfig(),
+		Park: time.Second, Parked: 1000, Memory: 16 << 20, Tick: 5 * time.Millisecond,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = e.Run(ctx)
+	}()
+	server := httptest.NewServer(e)
+	s.servers = append(s.servers, server)
+	s.Cleanup(func() {
+		server.Close()
+		cancel()
+		<-done
+		e.Close()
+	})
+}
+
+// targetOf returns a target by its index in a service's tables.
+func (s *soak) targetOf(name key.Service, i table.Index) *standin.Target {
+	t, _ := s.farm.Target(place.Target(fmt.Sprintf("%s-%d", name, i+1)))
+	return t
+}
+
+// order sends an order that is anchored on the target's newest answer.
+func (s *soak) order(name key.Service, addr netip.AddrPort, o grant.Order) (grant.Answer, error) {
+	o.Service, o.Zone, o.Term, o.Duration = name, "zone-a", 1, soakGrant
+	first, err := s.control.Order(context.Background(), addr, grant.Order{Service: name, Zone: "zone-a", Term: 1})
+	if err != nil {
+		return first, err
+	}
+	o.Incarnation, o.Anchor = first.Incarnation, first.Clock
+	return s.control.Order(context.Background(), addr, o)
+}
+
+// grantAll gives each target what the rows say; a target in a new life gets
+// its shards at a higher epoch.
+func (s *soak) grantAll(name key.Service) {
+	for i := range table.Index(soakTargets) {
+		t := s.targetOf(name, i)
+		probe, err := s.control.Order(context.Background(), t.Addr(), grant.Order{Service: name, Zone: "zone-a", Term: 1})
+		if err != nil {
+			continue
+		}
+		fresh := s.life[t.Name()] != probe.Incarnation
+		var items []grant.Item
+		for r := range s.rows[name] {
+			row := &s.rows[name][r]
+			if row.Owner != i {
+				continue
+			}
+			if fresh {
+				row.Epoch++
+			}
+			items = append(items, grant.Item{Shard: row.Shard, Epoch: row.Epoch, Kind: grant.Grant})
+		}
+		if _, err := s.order(name, t.Addr(), grant.Order{Items: items}); err == nil {
+			s.life[t.Name()] = probe.Incarnation
+		}
+	}
+}
+
+func (s *soak) publish(name key.Service) {
+	t := &table.Table{Service: name, Zone: "zone-a", Shards: soakShards}
+	for i := range table.Index(soakTargets) {
+		one := s.targetOf(name, i)
+		t.Targets = append(t.Targets, table.Target{Target: one.Name(), Addr: one.Addr()})
+	}
+	t.Rows = append(t.Rows, s.rows[name]...)
+	s.board.putTable(t)
+}
+
+// loopDisturb moves shards and makes targets fail.
+func (s *soak) loopDisturb(ctx context.Context) {
+	for ctx.Err() == nil {
+		name := []key.Service{balance, plan}[s.rand.IntN(2)]
+		switch s.rand.IntN(10) {
+		case 0:
+			s.restart(name)
+		case 1:
+			s.freeze(name)
+		case 2, 3, 4:
+			s.setFaults(name)
+		default:
+			s.move(name)
+		}
+		s.grantAll(name)
+		s.publish(name)
+		time.Sleep(20 * time.Millisecond)
+	}
+	for _, t := range s.farm.Targets() {
+		t.Thaw()
+	}
+}
+
+func (s *soak) any(name key.Service) *standin.Target {
+	return s.targetOf(name, table.Index(s.rand.IntN(soakTargets)))
+}
+
+func (s *soak) restart(name key.Service) {
+	t := s.any(name)
+	t.Kill()
+	time.Sleep(time.Duration(s.rand.IntN(50)) * time.Millisecond)
+	assert.NilError(s, t.Start())
+}
+
+func (s *soak) freeze(name key.Service) {
+	t := s.any(name)
+	t.Freeze()
+	time.Sleep(time.Duration(s.rand.IntN(300)) * time.Millisecond)
+	t.Thaw()
+}
+
+func (s *soak) setFaults(name key.Service) {
+	s.any(name).SetFaults(standin.TargetFaults{
+		Cut: s.chance(), Truncated: s.chance(), Crossed: s.chance(), Oversized: s.chance() / 10,
+		Shed: s.chance(), Late: s.chance() / 100,
+	})
+}
+
+// chance is none half of the time, and up to 5%.
+func (s *soak) chance() float64 { return max(s.rand.Float64()*0.1-0.05, 0) }
+
+// move releases a shard at its owner and grants it to another.
+func (s *soak) move(name key.Service) {
+	row := &s.rows[name][s.rand.IntN(soakShards)]
+	old := s.targetOf(name, row.Owner)
+	for range 100 {
+		a, err := s.order(name, old.Addr(), grant.Order{Release: []grant.Held{{Shard: row.Shard, Epoch: row.Epoch}}})
+		if err == nil && !holds(a, row.Shard) {
+			row.Owner = table.Index(s.rand.IntN(soakTargets))
+			row.Epoch++
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func holds(a grant.Answer, shard key.Shard) bool {
+	for _, h := range a.Held {
+		if h.Shard == shard {
+			return true
+		}
+	}
+	return false
+}
+
+// loopCall sends operations until all are sent.
+func (s *soak) loopCall(r *rand.Rand) {
+	for {
+		n := int(s.sent.Add(1)) - 1
+		if n >= len(s.ends) {
+			return
+		}
+		s.ends[n] = s.operate(r, n)
+	}
+}
+
+// operate sends one operation. Some come twice at once with an idempotency
+// key, some with little time, some callers hang up.
+func (s *soak) operate(r *rand.Rand, n int) soakEnd {
+	server := s.servers[r.IntN(len(s.servers))]
+	ctx := context.Background()
+	if r.IntN(50) == 0 {
+		short, cancel := context.WithTimeout(ctx, time.Duration(r.IntN(5000))*time.Microsecond)
+		defer cancel()
+		ctx = short
+	}
+	header := http.Header{}
+	if r.IntN(10) == 0 {
+		header.Set(target.HeaderDeadline, fmt.Sprint(1+r.IntN(20)))
+	}
+	if n%2 == 1 && r.IntN(10) == 0 {
+		header.Set(target.HeaderIdempotency, operation(n))
+		again := make(chan soakEnd, 1)
+		go func() { again <- s.call(ctx, server.URL, n, header) }()
+		end := s.call(ctx, server.URL, n, header)
+		return s.merge(end, <-again)
+	}
+	return s.call(ctx, server.URL, n, header)
+}
+
+// merge combines what two callers of the same operation learned: one of them
+// may come after the other's not-run and run it then.
+func (s *soak) merge(a, b soakEnd) soakEnd {
+	if a == endDone && b == endDone {
+		s.rejoins.Add(1)
+	}
+	if a == endNotRun {
+		return b
+	}
+	if b == endNotRun {
+		return a
+	}
+	if a == endDone || b == endDone {
+		return endDone
+	}
+	return endUnknown
+}
+
+func operation(n int) string { return fmt.Sprintf("op-%d", n) }
+
+// call sends one copy: even operations are look-ups, odd ones registrations.
+func (s *soak) call(ctx context.Context, base string, n int, header http.Header) soakEnd {
+	method, uri, payload := http.MethodGet, fmt.Sprintf("/balance/k%d?operation=%s", n%997, operation(n)), ""
+	if n%2 == 1 {
+		method, uri, payload = http.MethodPost, fmt.Sprintf("/plan/k%d?operation=%s", n%997, operation(n)), operation(n)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, base+uri, strings.NewReader(payload))
+	if err != nil {
+		s.Error(err)
+		return endNone
+	}
+	req.Header = header.Clone()
+	req.Header.Set("Authorization", "Bearer "+clerk)
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return endGone
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return endGone
+	}
+	switch outcome.Outcome(resp.Header.Get(outcome.Header)) {
+	case outcome.Done:
+		if !standin.CheckAnswer(body, uri, []byte(payload)) {
+			s.wrong.Add(1)
+		}
+		return endDone
+	case outcome.NotRun:
+		return endNotRun
+	case outcome.Unknown:
+		return endUnknown
+	}
+	return endNone
+}
+
+// check compares what the callers learned with the runs at the targets.
+func (s *soak) check() {
+	operations := make([]string, len(s.ends))
+	for n := range operations {
+		operations[n] = operation(n)
+	}
+	counts := map[string]int{}
+	for n, runs := range s.farm.Ledger.RunsOf(operations) {
+		end := s.ends[n]
+		counts[fmt.Sprintf("%s %s", []string{"look-ups", "registrations"}[n%2], [...]string{"gone", "done", "not-run", "unknown", "none"}[end])]++
+		switch {
+		case n%2 == 1 && runs > 1:
+			counts["BROKEN doubled run"]++
+		case end == endNotRun && runs > 0:
+			counts["BROKEN false not-run"]++
+		case end == endDone && runs == 0:
+			counts["BROKEN done without a run"]++
+		case end == endNone:
+			counts["BROKEN answer without an outcome"]++
+		case runs > 2:
+			counts["BROKEN look-up ran thrice"]++
+		}
+	}
+	l := s.farm.Ledger.Counts()
+	s.Logf("requests %d, runs %d, moves %d, refused busy %d, misrouted %d, joined %d", len(s.ends), l.Runs, l.Moves, l.Sheds, l.Misrouted, s.rejoins.Load())
+	for name, n := range counts {
+		s.Logf("%s: %d", name, n)
+		assert.Check(s, !strings.HasPrefix(name, "BROKEN"), name)
+	}
+	assert.Equal(s, s.wrong.Load(), int64(0), "wrong answers")
+	assert.Equal(s, l.DoubledRun, uint64(0))
+	assert.Equal(s, l.DoubledOwner, uint64(0))
+	assert.Equal(s, l.Refused, uint64(0), "connections over the limit")
+}
