--- a/internal/settings/commit.go
+++ b/internal/settings/commit.go
@@ -22,6 +22,9 @@
 // maxAttempts bounds the compare-and-swaps of one commit.
 const maxAttempts = 64
 
+// maxReads bounds the reads of the document until one is answered.
+const maxReads = 2
+
 // retryPause is the wait before asking again after a lost answer.
 const retryPause = 20 * time.Millisecond
 
@@ -63,13 +66,14 @@
 	// Expect is the number of the settings that the writer saw. The write
 	// conflicts where one of its paths changed since. Zero: whatever is there.
 	Expect uint64
+	// By names the writer; Permit may name it instead.
 	By     string
 	Reason string
 	// DryRun checks and returns the settings as they would be.
 	DryRun bool
 	// Permit is asked on each attempt with the settings in force and the
-	// changes; its error refuses the write.
-	Permit func(current *Settings, changes []Change) error
+	// changes; it names the writer, or its error refuses the write.
+	Permit func(current *Settings, changes []Change) (by string, err error)
 }
 
 // Committer writes settings to the platform's service. Safe for concurrent use.
@@ -80,7 +84,7 @@
 
 // Load returns the settings in force; a store without any gives empty ones.
 func (c *Committer) Load(ctx context.Context) (*Settings, error) {
-	entry, err := c.store.Get(ctx, StorePath)
+	entry, err := c.get(ctx)
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
 		return &Settings{}, nil
@@ -90,6 +94,17 @@
 	return decodeEntry(entry)
 }
 
+// get reads the document. A lost answer to a read costs one more read.
+func (c *Committer) get(ctx context.Context) (entry platform.Entry, err error) {
+	for range maxReads {
+		entry, err = c.store.Get(ctx, StorePath)
+		if !errors.Is(err, platform.ErrUnavailable) {
+			break
+		}
+	}
+	return entry, err
+}
+
 // attempt is one commit under way.
 type attempt struct {
 	*Committer
@@ -165,9 +180,11 @@
 		}
 	}
 	if a.Permit != nil {
-		if err := a.Permit(current, changes); err != nil {
+		by, err := a.Permit(current, changes)
+		if err != nil {
 			return err
 		}
+		a.By = by
 	}
 	if err := current.conflict(changes, a.Expect); err != nil {
 		return err
