citrontray-entry: the data path as a process, load reports to leads

Cause: the whole path needs the binary. Before: the data path ran in tests alone. Tests of internal/entry pass; not yet run beside a lead.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
 	"citrontray.example/citrontray/internal/forward"
@@ -27,7 +28,7 @@
 type Config struct {
 	Board          spread.Board
 	DecodeSettings func([]byte) (*settings.Settings, error)
-	DecodeTable    func([]byte) (*table.Table, error)
+	DecodeTable    func([]byte) (table.Table, error)
 	// Link carries load reports to leads; nil sends none.
 	Link     peer.Link
 	Log      *slog.Logger
@@ -112,8 +113,18 @@
 	return e
 }
 
-// Run follows the board and goes over all lanes each tick, until ctx ends.
+// Run follows the board, goes over all lanes each tick and reports the load,
+// until ctx ends.
 func (e *Entry) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return e.loop(ctx) })
+	if e.cfg.Link != nil {
+		group.Go(func() error { return e.loopReports(ctx) })
+	}
+	return group.Wait()
+}
+
+func (e *Entry) loop(ctx context.Context) error {
 	settingsChanged := e.cfg.Board.Subscribe(spread.Settings)
 	tablesChanged := e.cfg.Board.Subscribe(spread.TablePrefix)
 	e.refresh(time.Now())
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -112,10 +112,10 @@
 	return b.settings, nil
 }
 
-func (b *board) decodeTable(body []byte) (*table.Table, error) {
+func (b *board) decodeTable(body []byte) (table.Table, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.tables[string(body)], nil
+	return *b.tables[string(body)], nil
 }
 
 // The services of the fixture and their callers' credentials.
--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -37,6 +37,7 @@
 	entry   *Entry
 	service key.Service
 	target  place.Target
+	zone    place.Zone
 	addr    string
 	pool    *forward.Pool
 
@@ -70,12 +71,13 @@
 func (moved) event()   {}
 func (dropped) event() {}
 
-func newLane(e *Entry, row *table.Target, cfg *settings.Service) *lane {
+func newLane(e *Entry, zone place.Zone, row *table.Target, cfg *settings.Service) *lane {
 	limit := max(cfg.Connections/max(e.cfg.Hosts, 1), cfg.Slots, 1)
 	l := &lane{
 		entry:   e,
 		service: cfg.Name,
 		target:  row.Target,
+		zone:    zone,
 		addr:    row.Addr.String(),
 		queue:   queue.New[*work](e.cfg.Queue),
 		limiter: newLimiter(max(cfg.Slots, 1)),
--- /dev/null
+++ b/internal/entry/main.go
@@ -0,0 +1,300 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"citrontray.example/citrontray/internal/admin"
+	"citrontray.example/citrontray/internal/journal"
+	"citrontray.example/citrontray/internal/keys"
+	"citrontray.example/citrontray/internal/metric"
+	"citrontray.example/citrontray/internal/option"
+	"citrontray.example/citrontray/internal/peer"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/queue"
+	"citrontray.example/citrontray/internal/settings"
+	"citrontray.example/citrontray/internal/spread"
+	"citrontray.example/citrontray/internal/table"
+	"citrontray.example/citrontray/internal/version"
+)
+
+// Bounds of the callers' connections.
+const (
+	headTimeout = 5 * time.Second
+	idleTimeout = 2 * time.Minute
+	// maxHead bounds a request's line and headers; net/http adds 4 KiB.
+	maxHead = 16 << 10
+)
+
+// Options is what the flags and environment variables of the program say.
+type Options struct {
+	Host        place.Host
+	Zone        place.Zone
+	Region      place.Region
+	Platform    []netip.AddrPort
+	Peer        netip.AddrPort
+	Peers       []netip.AddrPort
+	Lead        netip.AddrPort
+	HTTP        netip.AddrPort
+	Admin       netip.AddrPort
+	Keys        string
+	Hosts       int
+	QueueBound  int
+	Park        time.Duration
+	Parked      int
+	Memory      int64
+	Notice      time.Duration
+	StopTimeout time.Duration
+	LogJSON     bool
+	Verbose     bool
+	Version     bool
+}
+
+// Main runs the program and returns its exit code: 0 after a planned stop, 1
+// after a failure, 2 for bad input, where nothing was started.
+func Main(args []string, out, errOut io.Writer) int {
+	opts, err := ReadOptions(args, out)
+	switch {
+	case errors.Is(err, option.ErrHelp):
+		return 0
+	case err != nil:
+		fmt.Fprintln(errOut, err)
+		return option.ExitUsage
+	case opts.Version:
+		fmt.Fprintln(out, "citrontray-entry", version.String())
+		return 0
+	}
+	level := slog.LevelInfo
+	if opts.Verbose {
+		level = slog.LevelDebug
+	}
+	log := journal.Part(journal.New(errOut, level, opts.LogJSON), "entry")
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	d, err := open(opts, log)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return option.ExitUsage
+	}
+	if err := d.Run(ctx); err != nil {
+		log.Error("Entry failed.", slog.Any("error", err))
+		return 1
+	}
+	log.Info("Entry stopped.")
+	return 0
+}
+
+// ReadOptions parses the flags; it returns all findings together.
+func ReadOptions(args []string, out io.Writer) (Options, error) {
+	var o Options
+	var platformAddrs, peerAddr, peerAddrs, leadAddr, httpAddr, adminAddr string
+	set := option.New("citrontray-entry", "takes callers' requests and forwards each to the one target that owns its key", out)
+	set.StringVar((*string)(&o.Host), "host", "", "name of this entry host")
+	set.StringVar((*string)(&o.Zone), "zone", "", "availability zone of this host")
+	set.StringVar((*string)(&o.Region), "region", "", "region of this host")
+	set.StringVar(&platformAddrs, "platform", "", "not used by this program; taken so that a host's programs can share their settings")
+	set.StringVar(&peerAddr, "peer-address", "", "UDP address that other hosts reach this process at, IP:PORT")
+	set.StringVar(&peerAddrs, "peers", "", "peer addresses of lead processes to start from, IP:PORT[,IP:PORT]")
+	set.StringVar(&leadAddr, "lead", "", "peer address of this host's own lead process, IP:PORT")
+	set.StringVar(&httpAddr, "http-address", "", "address that callers reach this process at, IP:PORT")
+	set.StringVar(&adminAddr, "admin-address", "127.0.0.1:9702", "address of /live, /ready, /metrics and /status")
+	set.StringVar(&o.Keys, "keys", "", "directory with the authority's certificate and this host's key")
+	set.IntVar(&o.Hosts, "hosts", DefaultHosts, "number of entry hosts that share each target's connections")
+	set.IntVar(&o.QueueBound, "queue", queue.DefaultConfig().Bound, "longest queue of one target, in requests")
+	set.DurationVar(&o.Park, "park", DefaultPark, "longest wait of a request whose key has no owner")
+	set.IntVar(&o.Parked, "parked", DefaultParked, "most requests that wait for an owner at once")
+	set.Int64Var(&o.Memory, "body-memory", DefaultMemory, "most bytes of request bodies held at once")
+	set.DurationVar(&o.Notice, "stop-notice", time.Second, "time between failing /ready and closing, for the balancer to notice")
+	set.DurationVar(&o.StopTimeout, "stop-timeout", 15*time.Second, "longest time of a planned stop")
+	set.BoolVar(&o.LogJSON, "log-json", false, "write logs as JSON")
+	set.BoolVar(&o.Verbose, "verbose", false, "log more")
+	set.BoolVar(&o.Version, "version", false, "print the version and end")
+	if err := set.Read(args); err != nil || o.Version {
+		return o, err
+	}
+	set.Required("host", string(o.Host))
+	set.Required("zone", string(o.Zone))
+	set.Required("keys", o.Keys)
+	o.Platform = set.Addresses("platform", platformAddrs)
+	o.Peer = set.Address("peer-address", peerAddr)
+	o.Peers = set.Addresses("peers", peerAddrs)
+	o.Lead = set.Address("lead", leadAddr)
+	o.HTTP = set.Address("http-address", httpAddr)
+	o.Admin = set.Address("admin-address", adminAddr)
+	o.check(set)
+	return o, set.Findings.Err()
+}
+
+// check finds the bounds that cannot be met.
+func (o *Options) check(set *option.Set) {
+	if o.Hosts < 1 {
+		set.Findings.Add("--hosts", "is below 1", "give the number of entry hosts")
+	}
+	if o.QueueBound < 1 {
+		set.Findings.Add("--queue", "is below 1", "give a number of requests")
+	}
+	if o.Notice >= o.StopTimeout {
+		set.Findings.Add("--stop-notice", "is not below --stop-timeout", "no time is left for requests in flight")
+	}
+}
+
+// daemon is the process: the data path and what feeds it.
+type daemon struct {
+	opts     Options
+	log      *slog.Logger
+	link     *peer.Peer
+	metrics  *metric.Registry
+	entry    *Entry
+	node     *spread.Node
+	pages    *admin.Server
+	listener net.Listener
+	server   *http.Server
+}
+
+// open binds all sockets and reads the keys.
+func open(o Options, log *slog.Logger) (*daemon, error) {
+	material, err := keys.Load(time.Now(), o.Keys, o.Host, peer.RoleEntry)
+	if err != nil {
+		return nil, fmt.Errorf("--keys: %w (make them with: citrontray keys host)", err)
+	}
+	d := &daemon{opts: o, log: log, metrics: metric.New("citrontray_entry")}
+	if d.link, err = peer.New(peer.Config{Listen: o.Peer, Keys: material, Log: log}); err != nil {
+		return nil, fmt.Errorf("--peer-address: %w", err)
+	}
+	board := spread.New()
+	d.node = spread.NewNode(board, d.link, spread.Config{
+		Self: material.Self(), Addr: o.Peer, OwnLead: o.Lead, Seeds: o.Peers, Log: log,
+	})
+	d.entry = New(d.config(board))
+	if d.pages, err = admin.Listen(o.Admin, d.metrics.Handler(), d.entry.StatusHandler()); err != nil {
+		return nil, fmt.Errorf("--admin-address: %w", err)
+	}
+	if d.listener, err = net.Listen("tcp", o.HTTP.String()); err != nil {
+		return nil, fmt.Errorf("--http-address: %w", err)
+	}
+	d.server = NewServer(d.entry)
+	return d, nil
+}
+
+func (d *daemon) config(board spread.Board) Config {
+	bounds := queue.DefaultConfig()
+	bounds.Bound = d.opts.QueueBound
+	return Config{
+		Board:          board,
+		Link:           d.link,
+		DecodeSettings: settings.Decode,
+		DecodeTable:    table.Decode,
+		Log:            d.log,
+		Registry:       d.metrics,
+		Hosts:          d.opts.Hosts,
+		Queue:          bounds,
+		Park:           d.opts.Park,
+		Parked:         d.opts.Parked,
+		Memory:         d.opts.Memory,
+		Tick:           DefaultTick,
+	}
+}
+
+// NewServer returns the server for callers.
+func NewServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHead,
+		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
+	}
+}
+
+// Run serves until ctx ends and then stops in order. All parts stop together.
+func (d *daemon) Run(ctx context.Context) error {
+	outer, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group, outer := errgroup.WithContext(outer)
+	group.Go(func() error { return d.link.Run(outer) })
+	group.Go(func() error { return d.node.Run(outer) })
+	group.Go(func() error { return d.entry.Run(outer) })
+	group.Go(func() error { return d.pages.Run(outer) })
+	group.Go(func() error { return d.runReady(outer) })
+	group.Go(d.runServer)
+	group.Go(func() error {
+		defer cancel()
+		return d.runStop(ctx, outer)
+	})
+	err := group.Wait()
+	d.entry.Close()
+	_ = d.link.Close()
+	_ = d.metrics.Close()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// runServer serves callers.
+func (d *daemon) runServer() error {
+	d.log.Info("Entry started.", slog.String("host", string(d.opts.Host)), slog.String("http", d.listener.Addr().String()))
+	if err := d.server.Serve(d.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// runReady keeps /ready in step.
+func (d *daemon) runReady(ctx context.Context) error {
+	const period = 50 * time.Millisecond
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			d.pages.SetReady(d.entry.Ready())
+		}
+	}
+}
+
+// runStop waits for the planned stop, or for a part that fails, and stops: not
+// ready, no new connections, what runs ends, what waits past the bound is
+// answered with not-run.
+func (d *daemon) runStop(ctx, failed context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-failed.Done():
+		return d.server.Close()
+	}
+	d.log.Info("Entry stops.")
+	d.pages.SetReady(false)
+	d.entry.Drain()
+	sleep(failed, d.opts.Notice)
+	bound, cancel := context.WithTimeout(failed, d.opts.StopTimeout-d.opts.Notice)
+	defer cancel()
+	clear := time.AfterFunc((d.opts.StopTimeout-d.opts.Notice)/2, d.entry.Clear)
+	defer clear.Stop()
+	if err := d.server.Shutdown(bound); err != nil {
+		d.log.Warn("Requests were cut at the end of the stop.", slog.Any("error", err))
+		return d.server.Close()
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/entry/soak_test.go
+++ b/internal/entry/soak_test.go
@@ -97,8 +97,9 @@
 			MaxIdleConnsPerHost: *soakCallers, DisableCompression: true,
 		}},
 	}
-	var groups []standin.Group
-	for _, name := range []key.Service{balance, plan} {
+	names := []key.Service{balance, plan}
+	groups := make([]standin.Group, 0, len(names))
+	for _, name := range names {
 		groups = append(groups, standin.Group{Count: soakTargets, TargetConfig: standin.TargetConfig{
 			Service: name, Slots: 3, Connections: 110, Work: 500 * time.Microsecond, ChecksTerms: true,
 		}})
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -110,7 +110,7 @@
 				e.log.Error("Table is unreadable.", "table", string(doc.Name), "error", err)
 				continue
 			}
-			known = cachedTable{version: doc.Version, table: t}
+			known = cachedTable{version: doc.Version, table: &t}
 			e.tableCache[doc.Name] = known
 		}
 		out = append(out, known.table)
@@ -188,7 +188,7 @@
 	id := laneID{t.Service, row.Target, row.Addr.String()}
 	l := e.lanes[id]
 	if l == nil {
-		l = newLane(e, row, cfg)
+		l = newLane(e, t.Zone, row, cfg)
 		e.lanes[id] = l
 		go l.run(e.ctx, now)
 	}
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -104,7 +104,8 @@
 	push(t, q, entry("a", settings.Bulk, 1))
 	e := entry("a", settings.Bulk, 2)
 	e.Deadline = start.Add(5 * time.Millisecond)
-	_, verdict, _, _ := q.Push(start, e, 10*time.Millisecond)
+	_, verdict, _, pushed := q.Push(start, e, 10*time.Millisecond)
+	assert.Assert(t, !pushed)
 	assert.Equal(t, verdict, queue.Late)
 }
 
