--- a/internal/cell/publish.go
+++ b/internal/cell/publish.go
@@ -68,6 +68,7 @@
 	Activated   []Intent
 	Moves       []Move
 	Given       []Given
+	Solos       int
 }
 
 // PromiseStatus is the promise of one roster host, as the lead counts it.
@@ -99,7 +100,7 @@
 		Roster: c.doc.Roster, Removed: c.doc.Removed,
 		LeaseHeld: c.leading() && now.Before(c.lease.until),
 		MayRenew:  (c.leading() || c.role == deputy) && c.mayRenew(),
-		Rows:      len(c.doc.Rows), Moves: c.doc.Moves, Given: c.doc.Given,
+		Rows:      len(c.doc.Rows), Moves: c.doc.Moves, Given: c.doc.Given, Solos: len(c.doc.Solos),
 	}
 	if !c.lease.contact.IsZero() {
 		s.StoreSilent = now.Sub(c.lease.contact)
--- /dev/null
+++ b/internal/custody/custody_test.go
@@ -0,0 +1,149 @@
+package custody_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"citrontray.example/citrontray/internal/cell"
+	"citrontray.example/citrontray/internal/custody"
+	"citrontray.example/citrontray/internal/grant"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/place"
+)
+
+func weights(a, b, c int) []custody.Weight {
+	return []custody.Weight{{Zone: "a", Targets: a}, {Zone: "b", Targets: b}, {Zone: "c", Targets: c}}
+}
+
+func TestFirstSplitsByTargets(t *testing.T) {
+	for name, test := range map[string]struct {
+		weights []custody.Weight
+		want    map[place.Zone]int
+	}{
+		"even":             {weights(2, 2, 2), map[place.Zone]int{"a": 342, "b": 341, "c": 341}},
+		"one zone empty":   {weights(3, 0, 1), map[place.Zone]int{"a": 768, "c": 256}},
+		"no target at all": {weights(0, 0, 0), map[place.Zone]int{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			doc := custody.First("balance", 1024, test.weights)
+			assert.DeepEqual(t, doc.Count(), test.want)
+		})
+	}
+}
+
+func TestLoseHandsOverAboveTheLostEpochs(t *testing.T) {
+	doc := custody.First("balance", 64, weights(1, 1, 1))
+	last := cell.Doc{}
+	for _, row := range doc.Of("a") {
+		last.Rows = append(last.Rows, cell.Row{Shard: row.Shard, Epoch: 41})
+	}
+	next, changed := custody.Lose(doc, "a", weights(1, 1, 1), last)
+	assert.Assert(t, changed)
+	assert.Equal(t, next.Count()["a"], 0)
+	for _, row := range last.Rows {
+		assert.Assert(t, next.Rows[row.Shard].Floor > 41)
+	}
+	_, again := custody.Lose(next, "a", weights(1, 1, 1), last)
+	assert.Assert(t, !again)
+}
+
+// TestTransfers drives plans, settlements and losses at random: a shard is in
+// one zone at every step, no floor falls, no transfer changes its target zone
+// on the way, and the shares are reached once the weights stand still.
+func TestTransfers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		doc := custody.First("balance", 64, weights(1, 1, 1))
+		zones := []place.Zone{"a", "b", "c"}
+		w := weights(1, 1, 1)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			before := doc
+			zone := rapid.SampledFrom(zones).Draw(t, "zone")
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				n := rapid.IntRange(0, 3)
+				w = weights(n.Draw(t, "a"), n.Draw(t, "b"), n.Draw(t, "c"))
+			case 1:
+				doc, _ = custody.Plan(doc, zone, w, rapid.IntRange(0, 8).Draw(t, "budget"))
+			case 2:
+				doc, _ = custody.Settle(doc, zone, someGiven(t, doc))
+			}
+			checkStep(t, before, doc)
+		}
+		settle(t, doc, w, zones)
+	})
+}
+
+// someGiven draws shards that a cell might have given up, with an epoch.
+func someGiven(t *rapid.T, doc custody.Doc) []cell.Given {
+	var out []cell.Given
+	for s := range doc.Rows {
+		if rapid.IntRange(0, 3).Draw(t, "given") == 0 {
+			out = append(out, cell.Given{Shard: key.Shard(s), Floor: grant.Epoch(rapid.IntRange(0, 9).Draw(t, "floor"))})
+		}
+	}
+	return out
+}
+
+func checkStep(t *rapid.T, before, after custody.Doc) {
+	for s, row := range after.Rows {
+		old := before.Rows[s]
+		assert.Assert(t, row.Zone != "")
+		assert.Assert(t, row.Floor >= old.Floor)
+		if old.Next == "" {
+			assert.Equal(t, row.Zone, old.Zone)
+			continue
+		}
+		stands := row == old
+		settled := row.Zone == old.Next && row.Next == ""
+		assert.Assert(t, stands || settled)
+	}
+}
+
+// settle lets all transfers end and checks that the zones reach their shares.
+func settle(t *rapid.T, doc custody.Doc, w []custody.Weight, zones []place.Zone) {
+	var all []cell.Given
+	for s := range doc.Rows {
+		all = append(all, cell.Given{Shard: key.Shard(s)})
+	}
+	for range 40 {
+		for _, zone := range zones {
+			doc, _ = custody.Plan(doc, zone, w, 8)
+			doc, _ = custody.Settle(doc, zone, all)
+		}
+	}
+	total := 0
+	for _, x := range w {
+		total += x.Targets
+	}
+	if total == 0 {
+		return
+	}
+	count := doc.Count()
+	for _, x := range w {
+		share := len(doc.Rows) * x.Targets / total
+		assert.Assert(t, count[x.Zone] <= share+share/5+1, "zone %s has %d of a share of %d", x.Zone, count[x.Zone], share)
+	}
+}
+
+func TestCodec(t *testing.T) {
+	doc := custody.First("balance", 1024, weights(2, 2, 1))
+	doc.WriteID = "w1"
+	doc, _ = custody.Plan(doc, "a", weights(0, 1, 1), 5)
+	body, err := custody.Encode(doc)
+	assert.NilError(t, err)
+	got, err := custody.Decode(body)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, doc)
+	assert.Assert(t, len(body) < 16<<10)
+}
+
+func FuzzDecode(f *testing.F) {
+	body, err := custody.Encode(custody.First("balance", 8, weights(1, 1, 1)))
+	assert.NilError(f, err)
+	f.Add(body)
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		_, _ = custody.Decode(b)
+	})
+}
--- /dev/null
+++ b/internal/lead/daemon.go
@@ -0,0 +1,167 @@
+// Package lead is the shell around the ownership core: one process on every
+// entry host, which runs the cells of its zone, watches the platform, spreads
+// documents and keeps custody. It does the I/O; cell and custody decide.
+package lead
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"citrontray.example/citrontray/internal/cell"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/metric"
+	"citrontray.example/citrontray/internal/peer"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/platform"
+	"citrontray.example/citrontray/internal/settings"
+	"citrontray.example/citrontray/internal/spread"
+	"citrontray.example/citrontray/internal/target"
+)
+
+// Config is what a lead process learns from its flags.
+type Config struct {
+	Host        place.Host
+	Zone        place.Zone
+	Region      place.Region
+	PeerAddr    netip.AddrPort
+	Incarnation place.Incarnation
+	Timing      cell.Timing
+	// StopTimeout bounds a planned stop.
+	StopTimeout time.Duration
+}
+
+// Parts are the outside interfaces of a lead process.
+type Parts struct {
+	Store   platform.Store
+	Link    peer.Link
+	Board   spread.Board
+	Control target.Control
+	Log     *slog.Logger
+	Metrics *metric.Registry
+}
+
+// Daemon is a lead process.
+type Daemon struct {
+	cfg     Config
+	store   platform.Store
+	link    peer.Link
+	board   spread.Board
+	control target.Control
+	log     *slog.Logger
+	metrics *metric.Registry
+	started time.Time
+
+	mu      sync.Mutex
+	runners map[cell.ID]*runner
+}
+
+// New returns a lead process and sets its message handlers on the link.
+func New(cfg Config, parts Parts) *Daemon {
+	d := &Daemon{
+		cfg:     cfg,
+		store:   parts.Store,
+		link:    parts.Link,
+		board:   parts.Board,
+		control: parts.Control,
+		log:     parts.Log,
+		metrics: parts.Metrics,
+		started: time.Now(),
+		runners: make(map[cell.ID]*runner),
+	}
+	d.link.Handle(peer.KindCell, d.handleCell)
+	return d
+}
+
+// Run works until ctx ends, then stops every cell in a planned way: each hands
+// its lead over within Config.StopTimeout.
+func (d *Daemon) Run(ctx context.Context) error {
+	// The cells outlive ctx: they need their goroutines for the handover.
+	cells, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group, inner := errgroup.WithContext(ctx)
+	group.Go(func() error { return reconciler{d, cells}.run(inner) })
+	group.Go(func() error { return newKeeper(d).run(inner) })
+	err := group.Wait()
+	d.handOver()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// handOver asks all cells to stop and waits for them.
+func (d *Daemon) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.StopTimeout)
+	defer cancel()
+	runners := d.all()
+	for _, r := range runners {
+		r.send(ctx, cell.StopSeen{})
+	}
+	for _, r := range runners {
+		select {
+		case <-r.stopped:
+		case <-ctx.Done():
+			d.log.Warn("Cell not handed over in time.", slog.String("service", string(r.id.Service)))
+		}
+	}
+}
+
+// handleCell passes a message of another lead on to its cell.
+func (d *Daemon) handleCell(ctx context.Context, from peer.Identity, body []byte) ([]byte, error) {
+	if from.Role != peer.RoleLead || from.Zone != d.cfg.Zone {
+		return nil, fmt.Errorf("lead: %s of %s/%s takes no part in the cells of %s", from.Role, from.Zone, from.Host, d.cfg.Zone)
+	}
+	e, err := decodeEnvelope(body)
+	if err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	r := d.runners[e.id]
+	d.mu.Unlock()
+	if r != nil {
+		r.send(ctx, cell.PeerReceived{From: from.Host, Message: e.message})
+	}
+	return nil, nil
+}
+
+// all returns the runners of all cells.
+func (d *Daemon) all() []*runner {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]*runner, 0, len(d.runners))
+	for _, r := range d.runners {
+		out = append(out, r)
+	}
+	return out
+}
+
+// cellConfig derives the core's configuration from the settings.
+func (d *Daemon) cellConfig(s settings.Service) cell.Config {
+	return cell.Config{
+		ID:               cell.ID{Service: s.Name, Zone: d.cfg.Zone},
+		Self:             d.cfg.Host,
+		SelfAddr:         d.cfg.PeerAddr,
+		Incarnation:      d.cfg.Incarnation,
+		Timing:           d.cfg.Timing,
+		Shards:           shardCount(s),
+		ChecksTerms:      s.ChecksTerms,
+		Hold:             s.Hold,
+		MovesPerMinute:   s.MovesPerMinute,
+		ImbalancePercent: s.ImbalancePercent,
+	}
+}
+
+// shardCount returns the shards of a service, or the default.
+func shardCount(s settings.Service) key.ShardCount {
+	if s.Shards == 0 {
+		return key.DefaultShardCount
+	}
+	return s.Shards
+}
--- /dev/null
+++ b/internal/lead/keeper.go
@@ -0,0 +1,205 @@
+package lead
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/google/uuid"
+
+	"citrontray.example/citrontray/internal/cell"
+	"citrontray.example/citrontray/internal/custody"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/platform"
+	"citrontray.example/citrontray/internal/settings"
+	"citrontray.example/citrontray/internal/spread"
+)
+
+const (
+	// keepInterval is how often custody is looked at.
+	keepInterval = 500 * time.Millisecond
+	// steadyBefore is how long the zones' shares have to stand unchanged
+	// before shards are transferred for them: the fleet list flaps.
+	steadyBefore = 10 * time.Second
+	// transfersPerRound bounds the shards of one zone under transfer at once.
+	transfersPerRound = 16
+)
+
+// keeper writes the custody documents: the first layout, the transfers that
+// this host's cells have settled, those for balance, and declared losses.
+// Every write is a compare-and-swap, so keepers on several hosts may race.
+type keeper struct {
+	*Daemon
+	steady map[string]steadyShare
+}
+
+// steadyShare is since when the zones of a service have had these shares.
+type steadyShare struct {
+	weights []custody.Weight
+	since   time.Time
+}
+
+func newKeeper(d *Daemon) *keeper {
+	return &keeper{Daemon: d, steady: make(map[string]steadyShare)}
+}
+
+// run keeps custody until ctx ends.
+func (k *keeper) run(ctx context.Context) error {
+	tick := time.NewTicker(keepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			k.keep(ctx, time.Now())
+		}
+	}
+}
+
+// keep looks at each service once.
+func (k *keeper) keep(ctx context.Context, now time.Time) {
+	v := k.look()
+	for _, s := range v.services(k.cfg.Zone) {
+		doc, ok := v.custody[s.Name]
+		if !ok {
+			k.create(ctx, v, s)
+			continue
+		}
+		if next, changed := k.next(ctx, now, v, s, doc); changed {
+			k.write(ctx, next, doc.revision)
+		}
+	}
+}
+
+// create writes the first layout of a service, once its targets are known.
+func (k *keeper) create(ctx context.Context, v *view, s settings.Service) {
+	if _, err := k.store.Get(ctx, custody.Path(s.Name)); !errors.Is(err, platform.ErrNotFound) {
+		return // it is there and on its way to the board, or the store is out
+	}
+	doc := custody.First(s.Name, shardCount(s), v.weights(s))
+	if len(doc.Rows) > 0 {
+		k.write(ctx, doc, 0)
+	}
+}
+
+// next returns the document as it should be now, and whether it changed. Only
+// the lead of this zone's cell changes custody, or hands over a lost zone's.
+func (k *keeper) next(ctx context.Context, now time.Time, v *view, s settings.Service, doc custodyDoc) (custody.Doc, bool) {
+	state, leading := k.leading(cell.ID{Service: s.Name, Zone: k.cfg.Zone})
+	if !leading {
+		return custody.Doc{}, false
+	}
+	if next, changed := custody.Settle(doc.Doc, k.cfg.Zone, state.Given); changed {
+		return next, true
+	}
+	weights := v.weights(s)
+	if next, changed := k.lose(ctx, v, s, doc, weights); changed {
+		return next, true
+	}
+	if !k.isSteady(now, s, weights) || transfers(doc.Doc, k.cfg.Zone) > 0 {
+		return custody.Doc{}, false
+	}
+	return custody.Plan(doc.Doc, k.cfg.Zone, weights, transfersPerRound)
+}
+
+// lose hands over the custody of a zone that an operator declared lost.
+func (k *keeper) lose(ctx context.Context, v *view, s settings.Service, doc custodyDoc, weights []custody.Weight) (custody.Doc, bool) {
+	for _, zone := range v.zones(s) {
+		if zone == k.cfg.Zone || !v.zoneLost(zone) {
+			continue
+		}
+		last, err := k.lastDoc(ctx, cell.ID{Service: s.Name, Zone: zone})
+		if err != nil {
+			k.log.Warn("Lost zone's document not read.", slog.Any("error", err))
+			continue
+		}
+		if next, changed := custody.Lose(doc.Doc, zone, weights, last); changed {
+			return next, true
+		}
+	}
+	return custody.Doc{}, false
+}
+
+// lastDoc reads the document of another zone's cell; it may not exist.
+func (k *keeper) lastDoc(ctx context.Context, id cell.ID) (cell.Doc, error) {
+	entry, err := k.store.Get(ctx, docPath(id))
+	if errors.Is(err, platform.ErrNotFound) {
+		return cell.Doc{ID: id}, nil
+	}
+	if err != nil {
+		return cell.Doc{}, err
+	}
+	return cell.DecodeDoc(entry.Value)
+}
+
+// leading returns the state of a cell if this host leads it now.
+func (k *keeper) leading(id cell.ID) (cell.Status, bool) {
+	k.mu.Lock()
+	r := k.runners[id]
+	k.mu.Unlock()
+	if r == nil {
+		return cell.Status{}, false
+	}
+	state := r.state.load()
+	return state, state.LeaseHeld
+}
+
+// isSteady reports whether the shares have stood long enough to act on.
+func (k *keeper) isSteady(now time.Time, s settings.Service, weights []custody.Weight) bool {
+	have, ok := k.steady[string(s.Name)]
+	if !ok || !equalWeights(have.weights, weights) {
+		k.steady[string(s.Name)] = steadyShare{weights: weights, since: now}
+		return false
+	}
+	return now.Sub(have.since) >= steadyBefore
+}
+
+// write commits a custody document and shows it to this process at once. A
+// lost answer needs no care here: the next round reads the board again, and
+// each step is idempotent.
+func (k *keeper) write(ctx context.Context, doc custody.Doc, expect platform.Revision) {
+	doc.WriteID = uuid.NewString()
+	body, err := custody.Encode(doc)
+	if err != nil {
+		k.log.Error("Custody not encoded.", slog.Any("error", err))
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	revision, err := k.store.Write(call, custody.Path(doc.Service), body, expect)
+	if err != nil {
+		k.log.Info("Custody not written.", slog.Any("error", err))
+		return
+	}
+	k.board.Publish(spread.Document{
+		Name:    custodyPrefix + spread.Name(doc.Service),
+		Version: spread.Version{Major: uint64(revision)},
+		Body:    body,
+	})
+}
+
+// transfers counts the shards that are on their way out of a zone.
+func transfers(doc custody.Doc, zone place.Zone) int {
+	n := 0
+	for _, row := range doc.Rows {
+		if row.Zone == zone && row.Next != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// equalWeights reports whether two lists of shares are the same.
+func equalWeights(a, b []custody.Weight) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/lead/runner.go
@@ -0,0 +1,161 @@
+package lead
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"citrontray.example/citrontray/internal/cell"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/spread"
+	"citrontray.example/citrontray/internal/table"
+)
+
+const (
+	// tickInterval is how often a cell's systems run.
+	tickInterval = 50 * time.Millisecond
+	// eventBuffer is how many events wait for a cell before senders wait too.
+	eventBuffer = 256
+	// orderTimeout bounds one order; a later renewal follows anyway.
+	orderTimeout = time.Second
+	// storeTimeout bounds one call to a slow store.
+	storeTimeout = 12 * time.Second
+	// peerTimeout bounds one message to a roster host.
+	peerTimeout = 800 * time.Millisecond
+)
+
+// runner drives one cell: it hands events to the core in order and carries out
+// the effects. It decides nothing itself.
+type runner struct {
+	daemon  *Daemon
+	id      cell.ID
+	core    *cell.Cell
+	log     *slog.Logger
+	events  chan cell.Event
+	stopped chan struct{}
+	peers   map[place.Host]place.HostRow
+	state   snapshot
+}
+
+// newRunner returns a runner for the cell of cfg. It has to be run.
+func newRunner(d *Daemon, cfg cell.Config) *runner {
+	return &runner{
+		daemon:  d,
+		id:      cfg.ID,
+		core:    cell.New(cfg),
+		log:     d.log.With(slog.String("service", string(cfg.ID.Service))),
+		events:  make(chan cell.Event, eventBuffer),
+		stopped: make(chan struct{}),
+		peers:   make(map[place.Host]place.HostRow),
+	}
+}
+
+// send hands an event to the cell, waiting while its buffer is full.
+func (r *runner) send(ctx context.Context, ev cell.Event) {
+	select {
+	case r.events <- ev:
+	case <-ctx.Done():
+	}
+}
+
+// run is the cell's one goroutine: all decisions are made here, in order.
+func (r *runner) run(ctx context.Context) {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ev := <-r.events:
+			r.handle(ctx, ev)
+		case <-tick.C:
+			r.apply(ctx, r.core.Tick(time.Now()))
+			r.state.store(r.core.Status(time.Now()))
+		}
+	}
+}
+
+// handle gives one event to the core.
+func (r *runner) handle(ctx context.Context, ev cell.Event) {
+	if fleet, ok := ev.(cell.FleetSeen); ok {
+		r.learnPeers(fleet.Hosts)
+	}
+	r.apply(ctx, r.core.Handle(time.Now(), ev))
+}
+
+// learnPeers notes where the hosts of the zone are reached. A host that left
+// the list keeps its last address: the list lags and may be wrong.
+func (r *runner) learnPeers(hosts []place.HostRow) {
+	for _, h := range hosts {
+		r.peers[h.Host] = h
+	}
+}
+
+// apply carries out the effects of one step, in order. Calls go out in
+// goroutines of their own; what they bring back comes in as an event.
+func (r *runner) apply(ctx context.Context, effects []cell.Effect) {
+	for _, eff := range effects {
+		switch e := eff.(type) {
+		case cell.ReadDoc:
+			go readCall{r}.run(ctx)
+		case cell.WriteDoc:
+			go writeCall{r, e}.run(ctx)
+		case cell.AcquireLease:
+			go leaseCall{r, e, time.Now()}.run(ctx)
+		case cell.ReleaseLease:
+			go releaseCall{r}.run(ctx)
+		case cell.SendOrder:
+			go orderCall{r, e, time.Now()}.run(ctx)
+		case cell.SendPeer:
+			r.sendPeer(ctx, e)
+		case cell.Publish:
+			r.publish(e.Table)
+		case cell.Log:
+			r.log.Info(e.Text, slog.Uint64("shard", uint64(e.Shard)))
+		case cell.Stopped:
+			r.stop()
+		}
+	}
+}
+
+// sendPeer starts one message to a roster host whose address is known.
+func (r *runner) sendPeer(ctx context.Context, e cell.SendPeer) {
+	peer, ok := r.peers[e.To]
+	if !ok {
+		return
+	}
+	body, err := encodeEnvelope(envelope{id: r.id, message: e.Message})
+	if err != nil {
+		r.log.Error("Message not encoded.", slog.Any("error", err))
+		return
+	}
+	go peerCall{r, peer.Lead, body}.run(ctx)
+}
+
+// publish puts the cell's routing table on the board of this process.
+func (r *runner) publish(t table.Table) {
+	body, err := table.Encode(t)
+	if err != nil {
+		r.log.Error("Table not encoded.", slog.Any("error", err))
+		return
+	}
+	r.daemon.board.Publish(spread.Document{
+		Name:    tableName(r.id),
+		Version: spread.Version{Major: uint64(t.Version.Term), Minor: t.Version.Sequence},
+		Body:    body,
+	})
+}
+
+// stop notes that the planned stop of the cell is complete.
+func (r *runner) stop() {
+	select {
+	case <-r.stopped:
+	default:
+		close(r.stopped)
+	}
+}
+
+// tableName is the board's name of a cell's routing table.
+func tableName(id cell.ID) spread.Name {
+	return spread.TablePrefix + spread.Name(id.Service) + "/" + spread.Name(id.Zone)
+}
--- /dev/null
+++ b/internal/lead/status.go
@@ -0,0 +1,194 @@
+package lead
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"citrontray.example/citrontray/internal/cell"
+	"citrontray.example/citrontray/internal/grant"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/peer"
+	"citrontray.example/citrontray/internal/status"
+	"citrontray.example/citrontray/internal/table"
+	"citrontray.example/citrontray/internal/version"
+)
+
+// answeredWithin is how old a target's newest answer may be for it to count
+// as answering.
+const answeredWithin = 2 * time.Second
+
+// Report implements status.Source.
+func (d *Daemon) Report(now time.Time, q status.Query) status.Report {
+	report := status.Report{
+		Host: string(d.cfg.Host), Zone: string(d.cfg.Zone), Role: string(peer.RoleLead),
+		Version: version.String(), Started: d.started, Ready: true,
+		Settings: d.inForce(),
+	}
+	for _, s := range d.statuses() {
+		if reached := now.Add(-s.StoreSilent); s.StoreSilent > 0 && reached.After(report.Store) {
+			report.Store = reached
+		}
+		report.Cells = append(report.Cells, d.cellReport(now, s))
+	}
+	if q.Asked() {
+		report.Key = d.explain(q)
+	}
+	return report
+}
+
+// statuses returns the state of all cells, by service.
+func (d *Daemon) statuses() []cell.Status {
+	var out []cell.Status
+	for _, r := range d.all() {
+		out = append(out, r.state.load())
+	}
+	slices.SortFunc(out, func(a, b cell.Status) int { return cmp.Compare(a.ID.Service, b.ID.Service) })
+	return out
+}
+
+// cellReport maps the state of one cell.
+func (d *Daemon) cellReport(now time.Time, s cell.Status) status.Cell {
+	out := status.Cell{
+		Service: string(s.ID.Service), Zone: string(s.ID.Zone),
+		Term: uint64(s.Term), Lead: string(s.Lead), Leading: s.MayRenew,
+		Shards: s.Rows, Owned: d.owned(s.ID), Moving: len(s.Releasing), Solos: s.Solos,
+		Moves: movesOf(s.Moves),
+	}
+	for _, doubt := range s.Doubts {
+		out.Doubts = append(out.Doubts, status.Doubt{
+			Shard: uint32(doubt.Shard), Target: string(doubt.Owner), Why: doubt.Reason,
+		})
+	}
+	for _, t := range s.Targets {
+		if t.Target == "" {
+			continue // a row that waits for reuse
+		}
+		out.Members = append(out.Members, status.Member{
+			Target: string(t.Target), Shards: t.Rows, Leaving: t.Leaving,
+			Answered: now.Sub(t.Answered) < answeredWithin,
+		})
+	}
+	return out
+}
+
+// movesOf maps moves of a cell.
+func movesOf(moves []cell.Move) []status.Move {
+	var out []status.Move
+	for _, m := range moves {
+		out = append(out, status.Move{
+			At: m.At, Shard: uint32(m.Shard), Epoch: uint64(m.Epoch),
+			From: string(m.From), To: string(m.To), Evidence: grant.Name(m.Evidence),
+		})
+	}
+	return out
+}
+
+// owned counts the shards of a cell that its routing table sends somewhere.
+func (d *Daemon) owned(id cell.ID) int {
+	t, ok := d.table(id)
+	if !ok {
+		return 0
+	}
+	n := 0
+	for _, row := range t.Rows {
+		if row.Owner != table.None {
+			n++
+		}
+	}
+	return n
+}
+
+// table returns the newest routing table of a cell on the board.
+func (d *Daemon) table(id cell.ID) (table.Table, bool) {
+	doc, ok := d.board.Get(tableName(id))
+	if !ok {
+		return table.Table{}, false
+	}
+	t, err := table.Decode(doc.Body)
+	return t, err == nil
+}
+
+// explain tells where a key is, from the tables of all zones on the board.
+func (d *Daemon) explain(q status.Query) *status.Key {
+	v := d.look()
+	for _, s := range v.services("") {
+		if s.Name != q.Service {
+			continue
+		}
+		for _, zone := range v.zones(s) {
+			if found := d.explainIn(cell.ID{Service: s.Name, Zone: zone}, q); found != nil {
+				return found
+			}
+		}
+	}
+	return nil
+}
+
+// explainIn looks the key up in the table of one cell.
+func (d *Daemon) explainIn(id cell.ID, q status.Query) *status.Key {
+	t, ok := d.table(id)
+	if !ok {
+		return nil
+	}
+	hash := key.HashOf(q.Key)
+	shard, solo := soloOf(t, hash)
+	row, found := rowOf(t, shard)
+	if !found {
+		return nil
+	}
+	out := &status.Key{
+		Service: string(q.Service), Key: q.Key, Zone: string(id.Zone),
+		Shard: uint32(shard), Solo: solo, Epoch: uint64(row.Epoch), Term: uint64(t.Version.Term),
+	}
+	if row.Owner == table.None {
+		out.Why = "its owner's grant has not ended, or no target is there"
+	} else {
+		out.Owner = string(t.Targets[row.Owner].Target)
+	}
+	out.Moves = d.shardMoves(id, shard)
+	return out
+}
+
+// soloOf returns the shard of a key: its own, if it is a solo key.
+func soloOf(t table.Table, hash key.Hash) (key.Shard, bool) {
+	for _, s := range t.Solos {
+		if s.Hash == hash {
+			return s.Shard, true
+		}
+	}
+	return hash.Shard(t.Shards), false
+}
+
+// rowOf returns the row of a shard.
+func rowOf(t table.Table, shard key.Shard) (table.Row, bool) {
+	i, found := slices.BinarySearchFunc(t.Rows, shard, func(r table.Row, s key.Shard) int {
+		return cmp.Compare(r.Shard, s)
+	})
+	if !found {
+		return table.Row{}, false
+	}
+	return t.Rows[i], true
+}
+
+// shardMoves returns the newest moves of one shard of a cell of this zone.
+func (d *Daemon) shardMoves(id cell.ID, shard key.Shard) []status.Move {
+	d.mu.Lock()
+	r := d.runners[id]
+	d.mu.Unlock()
+	if r == nil {
+		return nil
+	}
+	moves := movesOf(r.state.load().Moves)
+	return slices.DeleteFunc(moves, func(m status.Move) bool { return m.Shard != uint32(shard) })
+}
+
+// inForce tells which settings this process acts on.
+func (d *Daemon) inForce() status.Settings {
+	v := d.look()
+	if v.settings == nil {
+		return status.Settings{}
+	}
+	return status.Settings{Number: v.settings.Number, Revision: uint64(v.settings.Revision)}
+}
+
--- /dev/null
+++ b/internal/lead/view.go
@@ -0,0 +1,179 @@
+package lead
+
+import (
+	"cmp"
+	"slices"
+
+	"citrontray.example/citrontray/internal/cell"
+	"citrontray.example/citrontray/internal/custody"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/platform"
+	"citrontray.example/citrontray/internal/settings"
+)
+
+// view is what a lead process knows of the world beyond its cells: the newest
+// settings, fleet list and custody documents on its board. Its methods are
+// pure; every lead that has the same documents derives the same events.
+type view struct {
+	settings *settings.Settings
+	fleet    platform.Fleet
+	custody  map[key.Service]custodyDoc
+}
+
+// custodyDoc is a custody document with its revision in the store.
+type custodyDoc struct {
+	custody.Doc
+	revision platform.Revision
+}
+
+// services returns the services that the zone has a cell of, or all services
+// for no zone.
+func (v *view) services(zone place.Zone) []settings.Service {
+	if v.settings == nil {
+		return nil
+	}
+	var out []settings.Service
+	for _, s := range v.settings.Services {
+		if zone == "" || len(s.Zones) == 0 || slices.Contains(s.Zones, zone) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// hosts returns the entry hosts of the zone.
+func (v *view) hosts(zone place.Zone) []place.HostRow {
+	var out []place.HostRow
+	for _, h := range v.fleet.Hosts {
+		if h.Zone == zone {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// targets returns the targets of a service in a zone, by name: those of the
+// fleet list and those that the settings name.
+func (v *view) targets(s settings.Service, zone place.Zone) []place.TargetRow {
+	var out []place.TargetRow
+	for _, t := range v.fleet.Targets {
+		if t.Service == string(s.Name) && t.Zone == zone {
+			out = append(out, t)
+		}
+	}
+	for _, t := range s.Targets {
+		if t.Zone != zone || containsTarget(out, t.Target) {
+			continue
+		}
+		out = append(out, place.TargetRow{Target: t.Target, Service: string(s.Name), Zone: zone, Addr: t.Addr})
+	}
+	slices.SortFunc(out, func(a, b place.TargetRow) int { return cmp.Compare(a.Target, b.Target) })
+	return out
+}
+
+// containsTarget reports whether the rows name the target.
+func containsTarget(rows []place.TargetRow, name place.Target) bool {
+	return slices.ContainsFunc(rows, func(r place.TargetRow) bool { return r.Target == name })
+}
+
+// drains returns the targets of a zone that operators drain.
+func (v *view) drains(zone place.Zone, targets []place.TargetRow) []place.Target {
+	var out []place.Target
+	for _, t := range targets {
+		if v.drained(t.Target, zone) {
+			out = append(out, t.Target)
+		}
+	}
+	return out
+}
+
+// drained reports whether an operator drains the target or its zone. Within a
+// drained zone shards go to other zones through custody, target by target, so
+// only the targets named count here.
+func (v *view) drained(target place.Target, _ place.Zone) bool {
+	return slices.ContainsFunc(v.settings.Drains, func(d settings.Drain) bool {
+		return d.Target != "" && d.Target == target
+	})
+}
+
+// zoneDrained reports whether an operator drains the whole zone.
+func (v *view) zoneDrained(zone place.Zone) bool {
+	return slices.ContainsFunc(v.settings.Drains, func(d settings.Drain) bool {
+		return d.Target == "" && d.Zone == zone
+	})
+}
+
+// zoneLost reports whether an operator declared the whole zone lost.
+func (v *view) zoneLost(zone place.Zone) bool {
+	return slices.ContainsFunc(v.settings.Losses, func(l settings.Loss) bool {
+		return l.Zone == zone && l.Target == "" && l.Host == ""
+	})
+}
+
+// losses returns the declared losses of single targets and hosts.
+func (v *view) losses() []cell.Lost {
+	var out []cell.Lost
+	for _, l := range v.settings.Losses {
+		if l.Target == "" && l.Host == "" {
+			continue
+		}
+		out = append(out, cell.Lost{Target: l.Target, Host: l.Host, By: l.By, Reason: l.Reason})
+	}
+	return out
+}
+
+// weights returns the share of each zone of a service: its live targets, none
+// where the zone is drained or lost.
+func (v *view) weights(s settings.Service) []custody.Weight {
+	var out []custody.Weight
+	for _, zone := range v.zones(s) {
+		w := custody.Weight{Zone: zone}
+		if !v.zoneDrained(zone) && !v.zoneLost(zone) {
+			w.Targets = v.usable(s, zone)
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// usable counts the targets of a zone that may own shards.
+func (v *view) usable(s settings.Service, zone place.Zone) int {
+	n := 0
+	for _, t := range v.targets(s, zone) {
+		if t.State == place.Live && !v.drained(t.Target, zone) {
+			n++
+		}
+	}
+	return n
+}
+
+// zones returns the zones of a service, by name.
+func (v *view) zones(s settings.Service) []place.Zone {
+	zones := slices.Clone(s.Zones)
+	if len(zones) == 0 {
+		for _, t := range v.fleet.Targets {
+			if t.Service == string(s.Name) {
+				zones = append(zones, t.Zone)
+			}
+		}
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
+// events returns what the cell of a service in a zone has to know, in the
+// order in which it is handed over.
+func (v *view) events(cfg cell.Config, s settings.Service) []cell.Event {
+	targets := v.targets(s, cfg.ID.Zone)
+	events := []cell.Event{
+		cell.ConfigSeen{Config: cfg},
+		cell.FleetSeen{Hosts: v.hosts(cfg.ID.Zone), Targets: targets},
+		cell.DrainSeen{Targets: v.drains(cfg.ID.Zone, targets)},
+		cell.LostSeen{Lost: v.losses()},
+	}
+	if doc, ok := v.custody[s.Name]; ok {
+		events = append(events, cell.CustodySeen{Revision: doc.revision, Shards: doc.Of(cfg.ID.Zone)})
+	}
+	return events
+}
