--- a/internal/custody/custody_test.go
+++ b/internal/custody/custody_test.go
@@ -103,7 +103,7 @@
 
 // settle lets all transfers end and checks that the zones reach their shares.
 func settle(t *rapid.T, doc custody.Doc, w []custody.Weight, zones []place.Zone) {
-	var all []cell.Given
+	all := make([]cell.Given, 0, len(doc.Rows))
 	for s := range doc.Rows {
 		all = append(all, cell.Given{Shard: key.Shard(s)})
 	}
--- a/internal/lead/keeper.go
+++ b/internal/lead/keeper.go
@@ -174,7 +174,7 @@
 		return
 	}
 	k.board.Publish(spread.Document{
-		Name:    custodyPrefix + spread.Name(doc.Service),
+		Name:    spread.CustodyPrefix + spread.Name(doc.Service),
 		Version: spread.Version{Major: uint64(revision)},
 		Body:    body,
 	})
--- a/internal/lead/main.go
+++ b/internal/lead/main.go
@@ -141,9 +141,9 @@
 		fmt.Fprintf(errOut, "--peer-address: %v\n", err)
 		return option.ExitUsage
 	}
-	defer link.Close()
+	defer func() { _ = link.Close() }()
 	metrics := metric.New("citrontray_lead")
-	defer metrics.Close()
+	defer func() { _ = metrics.Close() }()
 	board := spread.New()
 	store := platform.NewClient(platform.ClientConfig{
 		Addrs: o.Platform, Timeout: storeTimeout, Host: o.Host, Zone: o.Zone,
--- a/internal/lead/reconciler.go
+++ b/internal/lead/reconciler.go
@@ -16,9 +16,6 @@
 // reconcileInterval bounds how long a cell that was missed stays unstarted.
 const reconcileInterval = 2 * time.Second
 
-// custodyPrefix is the board's prefix of custody documents.
-const custodyPrefix spread.Name = "custody/"
-
 // reconciler starts the cells that the settings name and tells all cells what
 // changed on the board. Its cells run under the context cells.
 type reconciler struct {
@@ -86,7 +83,7 @@
 			v.fleet = fleet
 		}
 	}
-	for _, doc := range d.board.List(custodyPrefix) {
+	for _, doc := range d.board.List(spread.CustodyPrefix) {
 		c, err := custody.Decode(doc.Body)
 		if err != nil {
 			d.log.Error("Custody not readable.", slog.Any("error", err))
--- a/internal/lead/status.go
+++ b/internal/lead/status.go
@@ -39,8 +39,9 @@
 
 // statuses returns the state of all cells, by service.
 func (d *Daemon) statuses() []cell.Status {
-	var out []cell.Status
-	for _, r := range d.all() {
+	runners := d.all()
+	out := make([]cell.Status, 0, len(runners))
+	for _, r := range runners {
 		out = append(out, r.state.load())
 	}
 	slices.SortFunc(out, func(a, b cell.Status) int { return cmp.Compare(a.ID.Service, b.ID.Service) })
@@ -74,7 +75,7 @@
 
 // movesOf maps moves of a cell.
 func movesOf(moves []cell.Move) []status.Move {
-	var out []status.Move
+	out := make([]status.Move, 0, len(moves))
 	for _, m := range moves {
 		out = append(out, status.Move{
 			At: m.At, Shard: uint32(m.Shard), Epoch: uint64(m.Epoch),
@@ -191,4 +192,3 @@
 	}
 	return status.Settings{Number: v.settings.Number, Revision: uint64(v.settings.Revision)}
 }
-
--- a/internal/lead/view.go
+++ b/internal/lead/view.go
@@ -126,8 +126,9 @@
 // weights returns the share of each zone of a service: its live targets, none
 // where the zone is drained or lost.
 func (v *view) weights(s settings.Service) []custody.Weight {
-	var out []custody.Weight
-	for _, zone := range v.zones(s) {
+	zones := v.zones(s)
+	out := make([]custody.Weight, 0, len(zones))
+	for _, zone := range zones {
 		w := custody.Weight{Zone: zone}
 		if !v.zoneDrained(zone) && !v.zoneLost(zone) {
 			w.Targets = v.usable(s, zone)
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -10,6 +10,8 @@
 	Settings    Name = "settings"
 	Fleet       Name = "fleet"
 	TablePrefix Name = "table/"
+	// CustodyPrefix is followed by the service's name.
+	CustodyPrefix Name = "custody/"
 )
 
 // Version orders the versions of one document.
--- a/internal/spread/watcher.go
+++ b/internal/spread/watcher.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -43,19 +44,35 @@
 // Run watches until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return w.loopSettings(ctx) })
+	for _, f := range feeds() {
+		group.Go(func() error { return w.loopFeed(ctx, f) })
+	}
 	group.Go(func() error { return w.loopFleet(ctx) })
 	return group.Wait()
 }
 
-// loopSettings reads the settings once, then waits for their changes.
-func (w *Watcher) loopSettings(ctx context.Context) error {
+// feed is a prefix of the store whose values are documents on the board.
+type feed struct {
+	prefix platform.Path
+	name   Name // in place of prefix
+}
+
+// feeds returns what a watcher reads besides the fleet list.
+func feeds() []feed {
+	return []feed{
+		{prefix: settings.StorePath, name: Settings},
+		{prefix: platform.Path(CustodyPrefix), name: CustodyPrefix},
+	}
+}
+
+// loopFeed reads the feed once, then waits for its changes.
+func (w *Watcher) loopFeed(ctx context.Context, f feed) error {
 	var from platform.Revision
 	failures := 0
 	for ctx.Err() == nil {
-		next, err := w.step(ctx, from)
+		next, err := w.step(ctx, f, from)
 		if err != nil {
-			w.log.Debug("settings not read from the store", slog.Any("error", err))
+			w.log.Debug("Store not read.", slog.String("prefix", string(f.prefix)), slog.Any("error", err))
 			sleep(ctx, storeWait(failures))
 			failures++
 			continue
@@ -66,45 +83,52 @@
 	return nil
 }
 
-func (w *Watcher) step(ctx context.Context, from platform.Revision) (platform.Revision, error) {
+func (w *Watcher) step(ctx context.Context, f feed, from platform.Revision) (platform.Revision, error) {
 	if from == 0 {
-		return w.readSettings(ctx)
+		return w.readAll(ctx, f)
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	changes, next, err := w.store.Watch(ctx, settings.StorePath, from)
+	changes, next, err := w.store.Watch(ctx, f.prefix, from)
 	if err != nil {
 		return from, err
 	}
 	for _, change := range changes {
-		if change.Path == settings.StorePath && !change.Deleted {
-			w.publishSettings(change.Entry)
+		if !change.Deleted {
+			w.publish(f, change.Entry)
 		}
 	}
 	return max(from, next), nil
 }
 
-// readSettings starts a watch: it returns the revision to watch from.
-func (w *Watcher) readSettings(ctx context.Context) (platform.Revision, error) {
+// readAll starts a watch: it returns the revision to watch from.
+func (w *Watcher) readAll(ctx context.Context, f feed) (platform.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	entries, revision, err := w.store.List(ctx, settings.StorePath)
+	entries, revision, err := w.store.List(ctx, f.prefix)
 	if err != nil {
 		return 0, err
 	}
 	for _, entry := range entries {
-		if entry.Path == settings.StorePath {
-			w.publishSettings(entry)
-		}
+		w.publish(f, entry)
 	}
 	return max(revision, 1), nil
 }
 
-// publishSettings offers one revision; the board refuses an older one.
-func (w *Watcher) publishSettings(entry platform.Entry) {
-	doc := Document{Name: Settings, Version: Version{Major: uint64(entry.Revision)}, Body: entry.Value}
+// publish offers one revision; the board refuses an older one.
+func (w *Watcher) publish(f feed, entry platform.Entry) {
+	rest, ok := strings.CutPrefix(string(entry.Path), string(f.prefix))
+	if !ok {
+		return
+	}
+	doc := Document{
+		Name:    f.name + Name(rest),
+		Version: Version{Major: uint64(entry.Revision)},
+		Body:    entry.Value,
+	}
 	if w.board.offer(doc, originStore) {
-		w.log.Info("settings read from the store", slog.Uint64("revision", uint64(entry.Revision)))
+		w.log.Info("Document read from the store.",
+			slog.String("name", string(doc.Name)), slog.Uint64("revision", uint64(entry.Revision)))
 	}
 }
 
