--- a/internal/lab/preset.go
+++ b/internal/lab/preset.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strconv"
 
@@ -14,8 +15,18 @@
 	"citrontray.example/citrontray/internal/preset"
 )
 
-// maxPorts bounds the free ports that one call finds.
-const maxPorts = 1000
+// maxPorts bounds the free ports that one call finds, portTries how many are
+// tried.
+const (
+	maxPorts  = 1000
+	portTries = 10 * maxPorts
+)
+
+// Ports are taken from firstPort up to lastPort.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
 
 // presetCommand prints the settings file of a preset.
 type presetCommand struct{ name string }
@@ -93,25 +104,31 @@
 	return o.exit(nil)
 }
 
-// freePorts finds ports that are free for TCP and UDP. All are held until the
-// last one is found, so that none comes twice.
+// freePorts finds ports that are free for TCP and UDP, below the range from
+// which the system takes ports for outgoing connections: one of those may be
+// taken again before its daemon listens. All are held until the last one is
+// found, so that none comes twice.
 func freePorts(count int) ([]int, error) {
 	var ports []int
-	for len(ports) < count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portTries {
+		if len(ports) == count {
+			return ports, nil
+		}
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		listener, err := net.Listen("tcp", addr)
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer listener.Close() //nolint:errcheck // only held
-		port := listener.Addr().(*net.TCPAddr).Port
-		packets, err := net.ListenPacket("udp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+		packets, err := net.ListenPacket("udp", addr)
 		if err != nil {
 			continue
 		}
 		defer packets.Close() //nolint:errcheck // only held
 		ports = append(ports, port)
 	}
-	return ports, nil
+	return nil, fmt.Errorf("lab: %d of %d free ports found", len(ports), count)
 }
 
 // scenariosCommand lists the scenarios of the bench.
