Probe shards that are not served, so that an outage's end is seen

Cause: with a target frozen the longest outage read 6947 ms, of which up to some seconds were the wait for the next request on that shard (one each 0.7 s on average). A failed shard is now asked each 200 ms.

--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -58,6 +58,8 @@
 	operation string
 	payload   []byte
 	due       time.Time
+	// probe tells that the call only looks whether its shard is served.
+	probe bool
 }
 
 // ended is what a call came to.
--- a/internal/load/generator.go
+++ b/internal/load/generator.go
@@ -18,6 +18,10 @@
 	// counted.
 	maxOpen      = 20000
 	payloadBytes = 64
+	// probeInterval is how often a shard that is not served is asked again,
+	// so that the end of its outage is seen; probeTries bounds that.
+	probeInterval = 200 * time.Millisecond
+	probeTries    = 150
 )
 
 // Generator makes the load of a plan at random times, whether or not earlier
@@ -33,7 +37,8 @@
 	mu      sync.Mutex
 	hot     HotSet
 	factor  float64
-	made    uint64
+	made    atomic.Uint64
+	probed  map[shardOf]bool
 	waiting sync.WaitGroup
 }
 
@@ -48,6 +53,7 @@
 		random: rand.New(rand.NewPCG(seed, seed)),
 		hot:    plan.Hot,
 		factor: 1,
+		probed: make(map[shardOf]bool),
 	}
 }
 
@@ -73,7 +79,7 @@
 	for {
 		select {
 		case now := <-ticker.C:
-			g.arrive(now, now.Sub(last))
+			g.arrive(ctx, now, now.Sub(last))
 			last = now
 		case <-ctx.Done():
 			g.waiting.Wait()
@@ -86,7 +92,7 @@
 func (g *Generator) Result() *Result { return g.result }
 
 // arrive starts the calls that fell due in the time since the last tick.
-func (g *Generator) arrive(now time.Time, since time.Duration) {
+func (g *Generator) arrive(ctx context.Context, now time.Time, since time.Duration) {
 	g.mu.Lock()
 	hot, factor := g.hot, g.factor
 	g.mu.Unlock()
@@ -98,18 +104,17 @@
 		}
 		g.open.Add(1)
 		next := g.next(hot, due)
-		g.waiting.Go(func() { g.run(next) })
+		g.waiting.Go(func() { g.run(ctx, next) })
 	}
 }
 
 // next makes up one call.
 func (g *Generator) next(hot HotSet, due time.Time) call {
-	g.made++
 	stream := g.plan.pick(g.random)
 	c := call{
 		stream:    stream,
 		key:       g.plan.key(g.random, stream, hot),
-		operation: g.prefix + strconv.FormatUint(g.made, 36),
+		operation: g.operation(),
 		due:       due,
 	}
 	if !stream.Idempotent {
@@ -121,12 +126,73 @@
 	return c
 }
 
-// run makes one call and records its end.
-func (g *Generator) run(c call) {
+// operation returns a new id.
+func (g *Generator) operation() string {
+	return g.prefix + strconv.FormatUint(g.made.Add(1), 36)
+}
+
+// run makes one call and records its end. Where the shard was not served it
+// is probed until it is, or ctx ends.
+func (g *Generator) run(ctx context.Context, c call) {
 	defer g.open.Add(-1)
 	end := g.caller.make(context.Background(), c)
-	shard := key.HashOf(c.key).Shard(g.plan.Shards[c.stream.Service])
-	g.result.record(c, shard, end, time.Now())
+	at := g.shardOf(c)
+	g.result.record(c, at.shard, end, time.Now())
+	if end.ending != endDone && !shed(end.reason) && g.startProbe(at) {
+		defer g.endProbe(at)
+		g.probe(ctx, c, at)
+	}
+}
+
+// probe asks for the same key with operations of its own until one is done. It
+// does not wait for one probe before the next: one may hang on a frozen target.
+func (g *Generator) probe(ctx context.Context, c call, at shardOf) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	var served atomic.Bool
+	for range probeTries {
+		select {
+		case now := <-ticker.C:
+			c.operation, c.due, c.probe = g.operation(), now, true
+		case <-ctx.Done():
+			return
+		}
+		if served.Load() {
+			return
+		}
+		g.waiting.Go(func() { g.runProbe(c, at, &served) })
+	}
+}
+
+// runProbe makes one probe and tells whether the shard was served.
+func (g *Generator) runProbe(c call, at shardOf, served *atomic.Bool) {
+	end := g.caller.make(context.Background(), c)
+	g.result.record(c, at.shard, end, time.Now())
+	if end.ending == endDone {
+		served.Store(true)
+	}
+}
+
+func (g *Generator) shardOf(c call) shardOf {
+	service := c.stream.Service
+	return shardOf{service: service, shard: key.HashOf(c.key).Shard(g.plan.Shards[service])}
+}
+
+// startProbe reports whether no other call probes the shard yet.
+func (g *Generator) startProbe(at shardOf) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.probed[at] {
+		return false
+	}
+	g.probed[at] = true
+	return true
+}
+
+func (g *Generator) endProbe(at shardOf) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.probed, at)
 }
 
 // poisson returns a Poisson-distributed number with the given mean.
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -86,6 +86,9 @@
 	r.counts.Done++
 	r.done = append(r.done, c.operation)
 	r.outages.Served(c.stream.Service, shard, c.due, now)
+	if c.probe {
+		return // its latency says nothing about the load's
+	}
 	micros := min(now.Sub(c.due).Microseconds(), highestMicros)
 	_ = r.latency.RecordValue(micros) // bounded above
 	class := r.byClass[c.stream.Class]
