Overload within what one machine can make; drain by the command's real words

Overload first failed for want of files in the lab process: 20,000 open calls at 13,500 a second. Targets now work 4 times as long in that scenario, and the probes are bounded. The drain scenario never drained: the command wants 'target NAME'.

--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -66,9 +66,9 @@
 // New returns a run.
 func New(config Config) *Run {
 	r := &Run{Config: config, platform: standin.NewPlatform()}
-	r.farm = standin.NewFarm(load.Groups(config.Preset, config.Settings), config.Preset.Zones)
+	r.farm = standin.NewFarm(load.Groups(config.Preset, config.Settings, config.Scenario.slowdown()), config.Preset.Zones)
 	r.balancer = load.NewBalancer(EntryHosts(config.Hosts))
-	r.plan = load.NewPlan(config.Preset, config.Settings, config.Scenario.Load)
+	r.plan = load.NewPlan(config.Preset, config.Settings, config.Scenario.Load, config.Scenario.slowdown())
 	r.plan.Hot = config.Scenario.Hot
 	return r
 }
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -21,11 +21,16 @@
 	About  string
 	Length time.Duration
 	// Load is the part of the targets' capacity that the load takes.
-	Load  float64
-	Hot   load.HotSet
-	Steps []Step
+	Load float64
+	// Slowdown makes each run at a target take longer, so that one machine
+	// can make more load than the targets have capacity; zero stands for 1.
+	Slowdown int
+	Hot      load.HotSet
+	Steps    []Step
 }
 
+func (s Scenario) slowdown() int { return max(s.Slowdown, 1) }
+
 // Step is one action at a time after the start of the measurement.
 type Step struct {
 	At     time.Duration
@@ -237,7 +242,7 @@
 	return []Scenario{
 		{
 			Name: "overload", About: "the load is 1.5 times the capacity for 10 s",
-			Length: 20 * time.Second, Load: baseLoad,
+			Length: 20 * time.Second, Load: baseLoad, Slowdown: 4,
 			Steps: []Step{{5 * time.Second, SetLoad{1.5}}, {15 * time.Second, SetLoad{baseLoad}}},
 		},
 		{
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -69,7 +69,7 @@
 	if err := waitReady(ctx, balancer, len(hosts)); err != nil {
 		return err
 	}
-	g := load.NewGenerator(load.NewPlan(p, s, c.part), balancer, fmt.Sprintf("l%d-", time.Now().UnixNano()), c.seed)
+	g := load.NewGenerator(load.NewPlan(p, s, c.part, 1), balancer, fmt.Sprintf("l%d-", time.Now().UnixNano()), c.seed)
 	loaded, cancel := context.WithTimeout(ctx, c.length)
 	defer cancel()
 	group, loaded := errgroup.WithContext(loaded)
--- a/internal/lab/standin.go
+++ b/internal/lab/standin.go
@@ -117,7 +117,7 @@
 	if err != nil {
 		return err
 	}
-	farm := standin.NewFarm(load.Groups(p, s), p.Zones)
+	farm := standin.NewFarm(load.Groups(p, s, 1), p.Zones)
 	if err := farm.Start(); err != nil {
 		return err
 	}
--- a/internal/load/generator.go
+++ b/internal/load/generator.go
@@ -16,12 +16,15 @@
 	arrivalTick = time.Millisecond
 	// maxOpen bounds the calls in flight; beyond it arrivals are dropped and
 	// counted.
-	maxOpen      = 20000
+	maxOpen      = 8000
 	payloadBytes = 64
 	// probeInterval is how often a shard that is not served is asked again,
 	// so that the end of its outage is seen; probeTries bounds that.
 	probeInterval = 200 * time.Millisecond
 	probeTries    = 150
+	// maxProbed bounds the shards that are probed at a time, so that probes
+	// add little to an overload.
+	maxProbed = 64
 )
 
 // Generator makes the load of a plan at random times, whether or not earlier
@@ -178,11 +181,11 @@
 	return shardOf{service: service, shard: key.HashOf(c.key).Shard(g.plan.Shards[service])}
 }
 
-// startProbe reports whether no other call probes the shard yet.
+// startProbe reports whether the shard is to be probed and no other call does.
 func (g *Generator) startProbe(at shardOf) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.probed[at] {
+	if g.probed[at] || len(g.probed) >= maxProbed {
 		return false
 	}
 	g.probed[at] = true
--- a/internal/load/generator_test.go
+++ b/internal/load/generator_test.go
@@ -116,7 +116,7 @@
 	assert.NilError(t, err)
 	s, err := p.Settings()
 	assert.NilError(t, err)
-	return load.NewPlan(p, s, part)
+	return load.NewPlan(p, s, part, 1)
 }
 
 func TestPlanCoversThePresets(t *testing.T) {
@@ -126,12 +126,12 @@
 			assert.NilError(t, err)
 			s, err := p.Settings()
 			assert.NilError(t, err)
-			plan := load.NewPlan(p, s, 0.5)
+			plan := load.NewPlan(p, s, 0.5, 2)
 			rate := make(map[key.Service]float64)
 			for _, stream := range plan.Streams {
 				rate[stream.Service] += stream.PerSecond
 			}
-			for _, group := range load.Groups(p, s) {
+			for _, group := range load.Groups(p, s, 2) {
 				capacity := float64(group.Count*group.Slots) / group.Work.Seconds()
 				assert.Assert(t, rate[group.Service] > 0.49*capacity && rate[group.Service] < 0.51*capacity, "%s", group.Service)
 				assert.Assert(t, group.Slots == 3 && group.Connections >= 110, "%s", group.Service)
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -66,8 +66,9 @@
 	Share        float64
 }
 
-// Groups returns the targets of a preset at today's sizes.
-func Groups(p preset.Preset, s *settings.Settings) []standin.Group {
+// Groups returns the targets of a preset at today's sizes. One run takes
+// slowdown times as long as usual.
+func Groups(p preset.Preset, s *settings.Settings, slowdown int) []standin.Group {
 	groups := make([]standin.Group, 0, len(p.Services))
 	for _, service := range p.Services {
 		row, _ := s.Service(service.Name)
@@ -77,7 +78,7 @@
 				Service:     service.Name,
 				Slots:       row.Slots,
 				Connections: row.Connections,
-				Work:        workOf(s, service.Name),
+				Work:        workOf(s, service.Name) * time.Duration(slowdown),
 				Connect:     connectCost,
 				Cold:        coldTime,
 				ChecksTerms: row.ChecksTerms,
@@ -88,14 +89,14 @@
 }
 
 // NewPlan returns the load that takes part (0 to 1 and above) of the capacity
-// of each service of the preset.
-func NewPlan(p preset.Preset, s *settings.Settings, part float64) Plan {
+// of each service of the preset, with the slowdown that Groups was given.
+func NewPlan(p preset.Preset, s *settings.Settings, part float64, slowdown int) Plan {
 	plan := Plan{Keys: defaultKeys, Shards: make(map[key.Service]key.ShardCount)}
 	for _, service := range p.Services {
 		row, _ := s.Service(service.Name)
 		plan.Shards[service.Name] = row.Shards
 		capacity := float64(service.Targets*row.Slots) / workOf(s, service.Name).Seconds()
-		plan.add(s, service.Name, capacity*part)
+		plan.add(s, service.Name, capacity*part/float64(slowdown))
 	}
 	return plan
 }
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -25,7 +25,7 @@
   local i status=0 pids=()
   case $1 in
     drain)
-      "$BIN/citrontray" drain --platform "$PLATFORM" --reason "bench" "$2" >>"$RUN/operators.log" 2>&1
+      "$BIN/citrontray" drain --platform "$PLATFORM" --reason "bench" target "$2" >>"$RUN/operators.log" 2>&1
       ;;
     race)
       for i in $(seq 10); do
