Race operators against each other and against faults of the store

Random runs interleave operators, hosts and faults call by call; porcupine checks the accepted writes.

--- a/internal/command/read.go
+++ b/internal/command/read.go
@@ -188,7 +188,7 @@
 				paths = append(paths, p)
 			}
 		}
-		if len(paths) > 0 {
+		if len(paths) > 0 || path == "" {
 			out = append(out, wireWrite{w.Number, w.ID, w.At, w.By, w.Reason, paths})
 		}
 	}
--- a/internal/command/write.go
+++ b/internal/command/write.go
@@ -193,13 +193,17 @@
 func rollbackCommand() *command {
 	var w writing
 	return &command{
-		name: "rollback", usage: "REVISION [--dry-run] [--reason TEXT]",
-		synopsis: "make the values of an earlier revision accepted again, as a new revision",
+		name: "rollback", usage: "REVISION [PATH] [--dry-run] [--reason TEXT]",
+		synopsis: "make the values of an earlier revision accepted again, of all settings or those below a path, as a new revision",
 		flags:    w.setFlags,
 		run: func(ctx context.Context, c *command, args []string) error {
-			if err := want(args, 1, 1, c.usage); err != nil {
+			if err := want(args, 1, 2, c.usage); err != nil {
 				return err
 			}
+			order := operator.Order{}
+			if len(args) > 1 {
+				order.Below = settings.Path(args[1])
+			}
 			number, err := strconv.ParseUint(args[0], 10, 64)
 			if err != nil || number == 0 {
 				return inputf("REVISION", "%q is not the number of a revision", args[0])
@@ -207,7 +211,8 @@
 			if w.reason == "" {
 				w.reason = "rollback to " + args[0]
 			}
-			return w.send(ctx, c, operator.Order{Rollback: number})
+			order.Rollback = number
+			return w.send(ctx, c, order)
 		},
 	}
 }
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -66,7 +66,7 @@
 		order.ID = uuid.NewString()
 	}
 	body, err := json.Marshal(wireOrder{
-		ID: order.ID, File: string(order.File), Rollback: order.Rollback,
+		ID: order.ID, File: string(order.File), Rollback: order.Rollback, Below: order.Below,
 		Expect: order.Expect, Reason: order.Reason, DryRun: order.DryRun,
 	})
 	if err != nil {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -27,6 +27,8 @@
 	File []byte
 	// Rollback, where above zero, asks for the values of that number instead.
 	Rollback uint64
+	// Below limits a rollback to a path and those below it.
+	Below settings.Path
 	// Expect is the number that the operator saw; zero for any.
 	Expect uint64
 	Reason string
@@ -129,26 +131,20 @@
 	if err != nil {
 		return Outcome{}, err
 	}
-	var base *settings.Settings
 	req := settings.Request{
-		ID: order.ID, Changes: changes, Rollback: order.Rollback,
+		ID: order.ID, Changes: changes, Rollback: order.Rollback, Below: order.Below,
 		Expect: order.Expect, Reason: order.Reason, DryRun: order.DryRun,
 	}
 	req.Permit = func(current *settings.Settings, changes []settings.Change) (string, error) {
-		base = current
 		who, err := identify(current)
 		if err != nil {
 			return "", err
 		}
 		return who.name, who.permit(changes)
 	}
-	next, err := c.Commit(ctx, time.Now(), req)
+	done, err := c.Commit(ctx, time.Now(), req)
 	if err != nil {
 		return Outcome{}, err
 	}
-	out := Outcome{Revision: next.Revision, Number: next.Number}
-	if base != nil {
-		out.Differences = settings.Diff(base, next)
-	}
-	return out, nil
+	return Outcome{Revision: done.Settings.Revision, Number: done.Write.Number, Differences: done.Differences}, nil
 }
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -84,7 +84,7 @@
 		answer(w, http.StatusUnprocessableEntity, wireError{Code: codeFindings, Text: "body is not an order"})
 		return
 	}
-	order := Order{ID: in.ID, File: []byte(in.File), Rollback: in.Rollback, Expect: in.Expect, Reason: in.Reason, DryRun: in.DryRun}
+	order := Order{ID: in.ID, File: []byte(in.File), Rollback: in.Rollback, Below: in.Below, Expect: in.Expect, Reason: in.Reason, DryRun: in.DryRun}
 	// The write goes on where the operator's connection ends: its outcome
 	// stands in the history, under the order's id.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), writeTimeout)
--- a/internal/operator/wire.go
+++ b/internal/operator/wire.go
@@ -34,12 +34,13 @@
 }
 
 type wireOrder struct {
-	ID       string `json:"id"`
-	File     string `json:"file,omitempty"`
-	Rollback uint64 `json:"rollback,omitempty"`
-	Expect   uint64 `json:"expect,omitempty"`
-	Reason   string `json:"reason,omitempty"`
-	DryRun   bool   `json:"dryrun,omitempty"`
+	ID       string        `json:"id"`
+	File     string        `json:"file,omitempty"`
+	Rollback uint64        `json:"rollback,omitempty"`
+	Below    settings.Path `json:"below,omitempty"`
+	Expect   uint64        `json:"expect,omitempty"`
+	Reason   string        `json:"reason,omitempty"`
+	DryRun   bool          `json:"dryrun,omitempty"`
 }
 
 type wireOutcome struct {
--- a/internal/settings/commit.go
+++ b/internal/settings/commit.go
@@ -63,6 +63,8 @@
 	// Rollback, where above zero, asks for the values that were in force
 	// after that number, in place of Changes.
 	Rollback uint64
+	// Below, if set, limits a rollback to this path and those below it.
+	Below Path
 	// Expect is the number of the settings that the writer saw. The write
 	// conflicts where one of its paths changed since. Zero: whatever is there.
 	Expect uint64
@@ -76,11 +78,36 @@
 	Permit func(current *Settings, changes []Change) (by string, err error)
 }
 
+// Accepted is the outcome of a request.
+type Accepted struct {
+	// Settings hold the write, and perhaps later ones.
+	Settings *Settings
+	Write    Write
+	// Differences is what the write changed, or would in a dry run.
+	Differences []Difference
+}
+
 // Committer writes settings to the platform's service. Safe for concurrent use.
-type Committer struct{ store platform.Store }
+type Committer struct {
+	store platform.Store
+	// pause waits before another try; it ends early with ctx.
+	pause func(ctx context.Context)
+}
 
 // NewCommitter returns a committer on store.
-func NewCommitter(store platform.Store) *Committer { return &Committer{store: store} }
+func NewCommitter(store platform.Store) *Committer {
+	return &Committer{store: store, pause: pause}
+}
+
+// pause waits for retryPause or the end of ctx.
+func pause(ctx context.Context) {
+	timer := time.NewTimer(retryPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
 
 // Load returns the settings in force; a store without any gives empty ones.
 func (c *Committer) Load(ctx context.Context) (*Settings, error) {
@@ -115,22 +142,45 @@
 	base, next *Settings
 }
 
-// Commit makes the request accepted by one compare-and-swap and returns the
-// settings with it. Errors: *finding.Error, *ConflictError, ErrNotAccepted,
-// ErrUnresolved, ErrNewer, ErrTooLarge, and that of Permit. Present time now
+// Commit makes the request accepted by one compare-and-swap. Errors: *finding.Error, *ConflictError, ErrNotAccepted,
+// ErrUnresolved, ErrNewer, ErrTooLarge, and that of Permit. The present time
 // goes into the history.
-func (c *Committer) Commit(ctx context.Context, now time.Time, req Request) (*Settings, error) {
+func (c *Committer) Commit(ctx context.Context, now time.Time, req Request) (Accepted, error) {
 	if req.ID == "" {
 		req.ID = uuid.NewString()
 	}
 	a := &attempt{Committer: c, Request: req}
 	for range maxAttempts {
 		done, err := a.try(ctx, now)
-		if err != nil || done != nil {
-			return done, err
+		if err != nil {
+			return Accepted{}, err
+		}
+		if done != nil {
+			return done.accepted(a.ID), nil
+		}
+	}
+	return Accepted{}, a.unreachable(errors.New("the store keeps answering with old values"))
+}
+
+// accepted returns the outcome of the write of that id, which s holds.
+func (s *Settings) accepted(id string) Accepted {
+	out := Accepted{Settings: s, Write: Write{Number: s.Number}}
+	for _, w := range s.History {
+		if w.ID == id {
+			out.Write = w
+		}
+	}
+	after := itemsByPath(s)
+	for i, p := range out.Write.Paths {
+		d := Difference{Path: p, Before: out.Write.Before[i]}
+		if item, ok := after[p]; ok {
+			d.After = Format([]Item{item})
+		}
+		if d.Before != d.After {
+			out.Differences = append(out.Differences, d)
 		}
 	}
-	return nil, a.unreachable(errors.New("the store keeps answering with old values"))
+	return out
 }
 
 // try makes one compare-and-swap; nil and nil stand for another try.
@@ -175,7 +225,7 @@
 	changes := a.Changes
 	if a.Rollback > 0 {
 		var err error
-		if changes, err = current.rollback(a.Rollback); err != nil {
+		if changes, err = current.rollback(a.Rollback, a.Below); err != nil {
 			return err
 		}
 	}
@@ -193,8 +243,11 @@
 	if err != nil {
 		return err
 	}
+	// A request that differs in nothing is written all the same: current may be
+	// an old value, and only the compare-and-swap tells.
+	differences := Diff(current, next)
 	next.Number = current.Number + 1
-	next.History = current.record(now, a.Request, changes)
+	next.History = current.record(now, a.Request, differences)
 	if len(Encode(next)) > MaxDocumentBytes {
 		return ErrTooLarge
 	}
@@ -225,12 +278,11 @@
 	if !a.doubt {
 		return a.unreachable(cause)
 	}
-	select {
-	case <-time.After(retryPause):
-		return nil
-	case <-ctx.Done():
+	a.pause(ctx)
+	if ctx.Err() != nil {
 		return a.unreachable(cause)
 	}
+	return nil
 }
 
 // unreachable tells certain failure from an unknown outcome.
@@ -243,7 +295,7 @@
 
 // conflict reports whether one of the changed paths was written after expect.
 func (s *Settings) conflict(changes []Change, expect uint64) error {
-	if expect == 0 || expect >= s.Number {
+	if expect == 0 || expect >= s.Number || len(changes) == 0 {
 		return nil
 	}
 	for _, w := range slices.Backward(s.History) {
@@ -273,16 +325,11 @@
 }
 
 // record returns the history with the request added, within bounds.
-func (s *Settings) record(now time.Time, req Request, changes []Change) []Write {
+func (s *Settings) record(now time.Time, req Request, differences []Difference) []Write {
 	w := Write{ID: req.ID, Number: s.Number + 1, At: now, By: req.By, Reason: req.Reason}
-	before := itemsByPath(s)
-	for _, c := range changes {
-		w.Paths = append(w.Paths, c.Path)
-		text := ""
-		if item, ok := before[c.Path]; ok {
-			text = Format([]Item{item})
-		}
-		w.Before = append(w.Before, text)
+	for _, d := range differences {
+		w.Paths = append(w.Paths, d.Path)
+		w.Before = append(w.Before, d.Before)
 	}
 	history := append(slices.Clone(s.History), w)
 	size := 0
@@ -304,8 +351,9 @@
 	return n
 }
 
-// rollback returns the changes that lead back to the values after number.
-func (s *Settings) rollback(number uint64) ([]Change, error) {
+// rollback returns the changes that lead back to the values after number, of
+// the paths at and below the one given.
+func (s *Settings) rollback(number uint64, below Path) ([]Change, error) {
 	var found finding.List
 	if number >= s.Number {
 		found.Addf("revision", "%d is not before the one in force, %d", number, s.Number)
@@ -321,7 +369,9 @@
 			break
 		}
 		for i, p := range w.Paths {
-			former[p] = w.Before[i]
+			if below.Covers(p) {
+				former[p] = w.Before[i]
+			}
 		}
 	}
 	return s.changesTo(former)
--- /dev/null
+++ b/internal/settings/random_test.go
@@ -0,0 +1,395 @@
+package settings
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"citrontray.example/citrontray/internal/platform"
+)
+
+const (
+	randomPaths  = 4
+	randomFaults = 14
+)
+
+// randomOp is one commit of an operator.
+type randomOp struct {
+	paths  []int
+	value  int
+	expect bool // expects the newest number that the operator saw
+}
+
+// randomResult is what an operator was told.
+type randomResult struct {
+	expect, number, winner uint64
+	path                   int
+	err                    error
+}
+
+// storeCall is a call that waits for the driver.
+type storeCall struct {
+	operator int
+	write    bool
+	pause    bool
+	value    []byte
+	expect   platform.Revision
+	arrived  int64
+	answer   chan storeAnswer
+}
+
+type storeAnswer struct {
+	entry platform.Entry
+	err   error
+	// arrived and served are the driver's steps of the call.
+	arrived, served int64
+}
+
+// scheduledStore hands each call to the driver, so that the order of all calls
+// and their faults are drawn.
+type scheduledStore struct {
+	platform.Store
+	operator int
+	calls    chan storeCall
+}
+
+func (s *scheduledStore) ask(c storeCall) storeAnswer {
+	c.operator, c.answer = s.operator, make(chan storeAnswer)
+	s.calls <- c
+	return <-c.answer
+}
+
+func (s *scheduledStore) Get(context.Context, platform.Path) (platform.Entry, error) {
+	a := s.ask(storeCall{})
+	return a.entry, a.err
+}
+
+func (s *scheduledStore) Write(_ context.Context, _ platform.Path, value []byte, expect platform.Revision) (platform.Revision, error) {
+	a := s.ask(storeCall{write: true, value: value, expect: expect})
+	return a.entry.Revision, a.err
+}
+
+// driver runs operators, hosts and the store in a drawn order.
+type driver struct {
+	t       *rapid.T
+	calls   chan storeCall
+	ended   chan int
+	pending []storeCall
+	entries []platform.Entry // all revisions
+	late    []storeCall      // writes that may still arrive
+	hosts   []*Applied
+	faults  int
+	step    int64
+	history []porcupine.Operation
+}
+
+func (d *driver) newest() platform.Entry {
+	if len(d.entries) == 0 {
+		return platform.Entry{}
+	}
+	return d.entries[len(d.entries)-1]
+}
+
+// apply is the store's compare-and-swap.
+func (d *driver) apply(c storeCall) storeAnswer {
+	if now := d.newest().Revision; now != c.expect {
+		return storeAnswer{err: &platform.ConflictError{Path: StorePath, Current: now}}
+	}
+	e := platform.Entry{Path: StorePath, Value: c.value, Revision: c.expect + 1}
+	d.entries = append(d.entries, e)
+	return storeAnswer{entry: e}
+}
+
+// fault draws whether something goes wrong now, within the run's bound.
+func (d *driver) fault() bool {
+	if d.faults == 0 || rapid.IntRange(0, 2).Draw(d.t, "fault") > 0 {
+		return false
+	}
+	d.faults--
+	return true
+}
+
+// answerRead answers a read, perhaps not, perhaps with an old value.
+func (d *driver) answerRead() storeAnswer {
+	at := len(d.entries)
+	if d.fault() {
+		if rapid.Bool().Draw(d.t, "refuse") {
+			return storeAnswer{err: platform.ErrUnavailable}
+		}
+		at = rapid.IntRange(0, len(d.entries)).Draw(d.t, "old")
+	}
+	if at == 0 {
+		return storeAnswer{err: platform.ErrNotFound}
+	}
+	return storeAnswer{entry: d.entries[at-1]}
+}
+
+// answerWrite answers a write, perhaps with the answer lost.
+func (d *driver) answerWrite(c storeCall) storeAnswer {
+	if !d.fault() {
+		return d.apply(c)
+	}
+	switch rapid.SampledFrom([]string{"refused", "lost", "late", "never"}).Draw(d.t, "write") {
+	case "refused":
+		return storeAnswer{err: platform.ErrUnavailable}
+	case "lost":
+		d.apply(c)
+	case "late":
+		d.late = append(d.late, c)
+	}
+	return storeAnswer{err: platform.ErrUnknown}
+}
+
+// serve lets one waiting call through.
+func (d *driver) serve() {
+	i := rapid.IntRange(0, len(d.pending)-1).Draw(d.t, "call")
+	c := d.pending[i]
+	d.pending = slices.Delete(d.pending, i, i+1)
+	var a storeAnswer
+	switch {
+	case c.pause:
+		if d.fault() {
+			a.err = context.Canceled // the operator gives up
+		}
+	case c.write:
+		a = d.answerWrite(c)
+	default:
+		a = d.answerRead()
+	}
+	a.arrived, a.served = c.arrived, d.step
+	c.answer <- a
+}
+
+// arrive lets a late write take effect, if it still can.
+func (d *driver) arrive() {
+	if len(d.late) == 0 || rapid.IntRange(0, 3).Draw(d.t, "arrive") > 0 {
+		return
+	}
+	d.apply(d.late[0])
+	d.late = d.late[1:]
+}
+
+// tell gives a host some revision of the store's past: a watch that lags, or
+// another host's copy. What is in force must not fall.
+func (d *driver) tell() {
+	if len(d.entries) == 0 {
+		return
+	}
+	host := rapid.SampledFrom(d.hosts).Draw(d.t, "host")
+	e := rapid.SampledFrom(d.entries).Draw(d.t, "revision")
+	before, number, _ := host.InForce()
+	_, err := host.OfferDocument(time.Unix(d.step, 0), e.Revision, e.Value)
+	assert.NilError(d.t, err)
+	after, next, _ := host.InForce()
+	if after < before || next < number || after != max(before, e.Revision) {
+		d.t.Fatalf("host went from revision %d (%d) to %d (%d) at an offer of %d", before, number, after, next, e.Revision)
+	}
+}
+
+// run serves calls until all operators are done.
+func (d *driver) run(operators int) {
+	for active := operators; active > 0; d.step++ {
+		for len(d.pending) < active {
+			select {
+			case c := <-d.calls:
+				c.arrived = d.step
+				d.pending = append(d.pending, c)
+			case <-d.ended:
+				active--
+			}
+		}
+		if active == 0 {
+			return
+		}
+		slices.SortFunc(d.pending, func(a, b storeCall) int { return a.operator - b.operator })
+		d.arrive()
+		d.tell()
+		d.serve()
+	}
+}
+
+func randomPath(i int) Path { return Path(fmt.Sprintf("teams/t/callers/c%d", i)) }
+
+// operate runs one operator's commits and returns what it was told.
+func operate(store *scheduledStore, ops []randomOp, note func(i int, op randomOp, run func() randomResult)) {
+	c := NewCommitter(store)
+	seen := uint64(0)
+	for i, op := range ops {
+		note(i, op, func() randomResult {
+			req := Request{ID: fmt.Sprintf("%d.%d", store.operator, i), By: fmt.Sprint(store.operator)}
+			for _, p := range op.paths {
+				hash := HashText(HashCredential(fmt.Sprint(p)))
+				req.Changes = append(req.Changes, Change{Item: Item{Path: randomPath(p), Fields: []Field{
+					{Name: "credential", Values: []string{hash}},
+					{Name: "tenant", Values: []string{fmt.Sprintf("v%d", op.value)}},
+				}}})
+			}
+			if op.expect {
+				req.Expect = seen
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			c.pause = func(context.Context) {
+				if store.ask(storeCall{pause: true}).err != nil {
+					cancel()
+				}
+			}
+			done, err := c.Commit(ctx, time.Unix(0, 0), req)
+			out := randomResult{expect: req.Expect, number: done.Write.Number, err: err}
+			var conflict *ConflictError
+			if errors.As(err, &conflict) {
+				out.winner = conflict.Winner.Number
+				out.path = int(conflict.Path[len(conflict.Path)-1] - '0')
+				seen = max(seen, out.winner)
+			}
+			seen = max(seen, out.number)
+			return out
+		})
+	}
+}
+
+// modelState is the settings as the sequential model keeps them: the number,
+// each path's value and the number that changed it last.
+type modelState struct {
+	number  uint64
+	values  [randomPaths]int
+	changed [randomPaths]uint64
+}
+
+// modelWrite returns the state after op became accepted, if it may.
+func modelWrite(s modelState, op randomOp, r randomResult) (modelState, bool) {
+	next := s
+	next.number++
+	for _, p := range op.paths {
+		if r.expect > 0 && s.changed[p] > r.expect {
+			return s, false
+		}
+		if s.values[p] != op.value {
+			next.values[p], next.changed[p] = op.value, next.number
+		}
+	}
+	return next, true
+}
+
+// modelStep is the sequential specification of a commit.
+func modelStep(state, input, output any) []any {
+	s, op, r := state.(modelState), input.(randomOp), output.(randomResult)
+	next, may := modelWrite(s, op, r)
+	switch {
+	case r.err == nil:
+		if may && next.number == r.number {
+			return []any{next}
+		}
+		return nil
+	case errors.Is(r.err, ErrUnresolved):
+		if may {
+			return []any{s, next}
+		}
+		return []any{s}
+	case r.winner > 0:
+		if s.changed[r.path] >= r.winner && r.winner > r.expect {
+			return []any{s}
+		}
+		return nil
+	case errors.Is(r.err, ErrNotAccepted):
+		return []any{s}
+	}
+	return nil
+}
+
+// checkHistory compares what operators were told with the final document.
+func (d *driver) checkHistory(final *Settings) {
+	written := make(map[string]uint64)
+	for i, w := range final.History {
+		if w.Number != uint64(i+1) {
+			d.t.Fatalf("write %s has number %d at place %d", w.ID, w.Number, i+1)
+		}
+		if _, twice := written[w.ID]; twice {
+			d.t.Fatalf("write %s was applied twice", w.ID)
+		}
+		written[w.ID] = w.Number
+	}
+	for _, op := range d.history {
+		id, r := op.Metadata.(string), op.Output.(randomResult)
+		number, ok := written[id]
+		switch {
+		case r.err == nil && number != r.number:
+			d.t.Fatalf("write %s was accepted as %d but stands as %d", id, r.number, number)
+		case r.err != nil && ok && !errors.Is(r.err, ErrUnresolved):
+			d.t.Fatalf("write %s was refused (%v) but stands as %d", id, r.err, number)
+		}
+	}
+}
+
+func drawOps(t *rapid.T) []randomOp {
+	op := rapid.Custom(func(t *rapid.T) randomOp {
+		paths := rapid.SliceOfNDistinct(rapid.IntRange(0, randomPaths-1), 1, 3, rapid.ID[int]).Draw(t, "paths")
+		return randomOp{paths: paths, value: rapid.IntRange(1, 9).Draw(t, "value"), expect: rapid.Bool().Draw(t, "expect")}
+	})
+	return rapid.SliceOfN(op, 1, 4).Draw(t, "ops")
+}
+
+// TestRandomOperators interleaves operators, hosts and faults of the store and
+// checks that the accepted writes are linearizable and never revert.
+func TestRandomOperators(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := &driver{t: t, calls: make(chan storeCall), ended: make(chan int), faults: randomFaults}
+		for range 3 {
+			d.hosts = append(d.hosts, &Applied{})
+		}
+		operators := rapid.IntRange(1, 5).Draw(t, "operators")
+		results := make([][]porcupine.Operation, operators)
+		for o := range operators {
+			ops := drawOps(t)
+			store := &scheduledStore{operator: o, calls: d.calls}
+			go func() {
+				operate(store, ops, func(i int, op randomOp, run func() randomResult) {
+					begun := store.ask(storeCall{pause: true}).served
+					out := run()
+					ended := store.ask(storeCall{pause: true}).arrived
+					if errors.Is(out.err, ErrUnresolved) {
+						ended = math.MaxInt64
+					}
+					results[o] = append(results[o], porcupine.Operation{
+						ClientId: o, Input: op, Output: out, Call: begun, Return: ended,
+						Metadata: fmt.Sprintf("%d.%d", o, i),
+					})
+				})
+				d.ended <- o
+			}()
+		}
+		d.run(operators)
+		d.history = slices.Concat(results...)
+		final := &Settings{}
+		if e := d.newest(); e.Revision > 0 {
+			var err error
+			final, err = decodeEntry(e)
+			assert.NilError(t, err)
+		}
+		d.checkHistory(final)
+		model := porcupine.NondeterministicModel{
+			Init: func() []any { return []any{modelState{}} },
+			Step: modelStep,
+		}
+		if !porcupine.CheckOperations(model.ToModel(), d.history) {
+			t.Fatalf("not linearizable:\n%s", describe(d.history))
+		}
+	})
+}
+
+func describe(history []porcupine.Operation) string {
+	lines := make([]string, 0, len(history))
+	for _, op := range history {
+		lines = append(lines, fmt.Sprintf("%v [%d,%d] %+v -> %+v", op.Metadata, op.Call, op.Return, op.Input, op.Output))
+	}
+	return strings.Join(lines, "\n")
+}
