Tests of trust between peers and of key rotation without restart

Certificates of another authority, expired, nameless or none at all get no message answered; servers with the wrong authority, IP number or role are not asked. Rotation under running processes keeps calls working, and ends the connections of a process that was left behind.

--- a/internal/peer/quic.go
+++ b/internal/peer/quic.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"crypto/tls"
@@ -26,8 +27,7 @@
 	handshakeTimeout = 2 * time.Second
 	idleTimeout      = 6 * time.Second
 	keepAlive        = 2 * time.Second
-	// upkeepInterval is the time between two looks at keys and connections.
-	upkeepInterval = 2 * time.Second
+	defaultUpkeep    = 2 * time.Second
 	// unusedTimeout is how long a connection without calls is kept.
 	unusedTimeout = time.Minute
 	// maxSessions bounds the connections that others opened.
@@ -79,6 +79,9 @@
 	Conn net.PacketConn
 	Keys Credentials
 	Log  *slog.Logger
+	// Upkeep is the time between two looks at key files and connections;
+	// zero stands for 2 s.
+	Upkeep time.Duration
 	// Cut, where set, reports whether this process is cut off from an
 	// address. Tests and the lab use it.
 	Cut func(to netip.AddrPort) bool
@@ -89,6 +92,7 @@
 	keys      Credentials
 	log       *slog.Logger
 	cut       func(netip.AddrPort) bool
+	every     time.Duration
 	transport *quic.Transport
 	listener  *quic.Listener
 	ctx       context.Context
@@ -121,6 +125,7 @@
 		keys:      cfg.Keys,
 		log:       journal.Part(cfg.Log, "peer"),
 		cut:       cfg.Cut,
+		every:     cmp.Or(cfg.Upkeep, defaultUpkeep),
 		transport: &quic.Transport{Conn: conn, StatelessResetKey: &reset},
 		handlers:  make(map[Kind]Handler),
 		remotes:   make(map[netip.AddrPort]*remote),
@@ -227,7 +232,7 @@
 
 // loop looks after keys and connections until the end.
 func (p *Peer) loop() {
-	ticker := time.NewTicker(upkeepInterval)
+	ticker := time.NewTicker(p.every)
 	defer ticker.Stop()
 	for {
 		select {
--- /dev/null
+++ b/internal/peer/trust_test.go
@@ -0,0 +1,209 @@
+package peer_test
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"citrontray.example/citrontray/internal/keys"
+	"citrontray.example/citrontray/internal/peer"
+)
+
+// spoiled shows another certificate than its material's own.
+type spoiled struct {
+	*keys.Material
+
+	shown []tls.Certificate
+}
+
+func (s spoiled) ClientTLS(protocol string) *tls.Config {
+	config := s.Material.ClientTLS(protocol)
+	config.Certificates = s.shown
+	return config
+}
+
+// nameless makes a certificate of the authority in dir that names no process.
+func nameless(t *testing.T, dir string) tls.Certificate {
+	t.Helper()
+	ca, err := tls.LoadX509KeyPair(filepath.Join(dir, keys.AuthorityFile), filepath.Join(dir, keys.AuthorityKeyFile))
+	assert.NilError(t, err)
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(time.Hour),
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, ca.Leaf, public, ca.PrivateKey)
+	assert.NilError(t, err)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: private}
+}
+
+func expired(t *testing.T, dir string) *keys.Material {
+	t.Helper()
+	const age = 2 * 365 * 24 * time.Hour
+	past := time.Now().Add(-age)
+	roots, err := os.ReadFile(filepath.Join(dir, keys.AuthorityFile))
+	assert.NilError(t, err)
+	old := t.TempDir()
+	assert.NilError(t, keys.MakeAuthority(past, old))
+	assert.NilError(t, keys.MakeHost(past, old, "h9", "z1", []peer.Role{peer.RoleLead}, []netip.Addr{loopback}))
+	// The server trusts this authority too: the age alone speaks against it.
+	added, err := os.ReadFile(filepath.Join(old, keys.AuthorityFile))
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(filepath.Join(dir, keys.AuthorityFile), append(roots, added...), 0o600))
+	m, err := keys.Load(past, old, "h9", peer.RoleLead)
+	assert.NilError(t, err)
+	return m
+}
+
+// TestStrangersGetInNowhere calls a lead's process with wrong certificates.
+func TestStrangersGetInNowhere(t *testing.T) {
+	tests := map[string]func(t *testing.T, dir string) peer.Credentials{
+		"of another authority": func(t *testing.T, dir string) peer.Credentials {
+			own, other := material(t, dir, "h2", peer.RoleLead), material(t, authority(t), "h2", peer.RoleLead)
+			return spoiled{Material: own, shown: other.ClientTLS("").Certificates}
+		},
+		"without a certificate": func(t *testing.T, dir string) peer.Credentials {
+			return spoiled{Material: material(t, dir, "h2", peer.RoleLead)}
+		},
+		"that names no process": func(t *testing.T, dir string) peer.Credentials {
+			return spoiled{Material: material(t, dir, "h2", peer.RoleLead), shown: []tls.Certificate{nameless(t, dir)}}
+		},
+		"that has expired": func(t *testing.T, dir string) peer.Credentials {
+			old := expired(t, dir)
+			return spoiled{Material: material(t, dir, "h2", peer.RoleLead), shown: old.ClientTLS("").Certificates}
+		},
+	}
+	for name, stranger := range tests {
+		t.Run(name, func(t *testing.T) {
+			dir := authority(t)
+			credentials := stranger(t, dir)
+			server := start(t, material(t, dir, "h1", peer.RoleLead), anyPort())
+			for kind := peer.KindCell; kind <= peer.KindWork; kind++ {
+				server.Handle(kind, echo)
+			}
+			client := start(t, credentials, anyPort())
+			for kind := peer.KindCell; kind <= peer.KindWork; kind++ {
+				_, err := client.Call(t.Context(), server.Addr(), kind, nil)
+				assert.Assert(t, err != nil, "kind %d was answered", kind)
+			}
+		})
+	}
+}
+
+// TestImpostorsAreNotAsked calls processes that are not what they should be.
+func TestImpostorsAreNotAsked(t *testing.T) {
+	dir := authority(t)
+	other := authority(t)
+	elsewhere := func(t *testing.T) peer.Credentials {
+		t.Helper()
+		ips := []netip.Addr{netip.MustParseAddr("10.9.9.9")}
+		assert.NilError(t, keys.MakeHost(time.Now(), dir, "h3", "z1", []peer.Role{peer.RoleLead}, ips))
+		m, err := keys.Load(time.Now(), dir, "h3", peer.RoleLead)
+		assert.NilError(t, err)
+		return m
+	}
+	tests := map[string]struct {
+		server peer.Credentials
+		want   error
+	}{
+		"of another authority":     {server: material(t, other, "h1", peer.RoleLead), want: peer.ErrUnreachable},
+		"with another IP number":   {server: elsewhere(t), want: peer.ErrUnreachable},
+		"an entry asked as a lead": {server: material(t, dir, "h1", peer.RoleEntry), want: peer.ErrRefused},
+	}
+	client := start(t, material(t, dir, "h2", peer.RoleLead), anyPort())
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			server := start(t, tt.server, anyPort())
+			server.Handle(peer.KindSpread, echo)
+			_, err := client.Call(t.Context(), server.Addr(), peer.KindSpread, nil)
+			assert.ErrorIs(t, err, tt.want)
+		})
+	}
+}
+
+// startQuick is start with frequent looks at the key files.
+func startQuick(t *testing.T, m peer.Credentials) *peer.Peer {
+	t.Helper()
+	const upkeep = 10 * time.Millisecond
+	p, err := peer.New(peer.Config{Listen: anyPort(), Keys: m, Upkeep: upkeep})
+	assert.NilError(t, err)
+	p.Handle(peer.KindSpread, echo)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = p.Run(t.Context())
+	}()
+	t.Cleanup(func() { <-done })
+	return p
+}
+
+func eventually(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if check() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+// TestRotationWithoutRestart replaces the authority and all certificates under
+// running processes, then takes the old authority out.
+func TestRotationWithoutRestart(t *testing.T) {
+	dir := authority(t)
+	first, second := material(t, dir, "h1", peer.RoleLead), material(t, dir, "h2", peer.RoleLead)
+	left := t.TempDir()
+	assert.NilError(t, os.CopyFS(left, os.DirFS(dir)))
+	a, b := startQuick(t, first), startQuick(t, second)
+	assert.NilError(t, keys.MakeHost(time.Now(), left, "h3", "z1", []peer.Role{peer.RoleLead}, []netip.Addr{loopback}))
+	third, err := keys.Load(time.Now(), left, "h3", peer.RoleLead)
+	assert.NilError(t, err)
+	stale := startQuick(t, third)
+	works := func(from, to *peer.Peer) bool {
+		_, err := from.Call(t.Context(), to.Addr(), peer.KindSpread, nil)
+		return err == nil
+	}
+	assert.Assert(t, works(a, b) && works(b, a) && works(stale, a) && works(a, stale))
+
+	assert.NilError(t, keys.MakeAuthority(time.Now(), dir))
+	assert.Assert(t, works(a, b) && works(b, a), "with both authorities")
+	oldLeaf := leafOf(t, dir, "h1")
+	material(t, dir, "h1", peer.RoleLead)
+	material(t, dir, "h2", peer.RoleLead)
+	assert.Assert(t, string(oldLeaf) != string(leafOf(t, dir, "h1")))
+	eventually(t, "new certificates are in use", func() bool {
+		return shows(first, leafOf(t, dir, "h1")) && shows(second, leafOf(t, dir, "h2"))
+	})
+	assert.Assert(t, works(a, b) && works(b, a), "with new certificates")
+
+	assert.NilError(t, keys.Retire(dir))
+	eventually(t, "the one left behind is shut out", func() bool { return !works(stale, a) && !works(a, stale) })
+	eventually(t, "the others go on", func() bool { return works(a, b) && works(b, a) })
+	assert.Assert(t, !works(stale, a) && !works(a, stale))
+}
+
+func leafOf(t *testing.T, dir string, host string) []byte {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join(dir, host+".lead.pem"))
+	assert.NilError(t, err)
+	block, _ := pem.Decode(data)
+	return block.Bytes
+}
+
+func shows(m *keys.Material, leaf []byte) bool {
+	return string(m.ClientTLS("").Certificates[0].Certificate[0]) == string(leaf)
+}
