--- a/internal/bench/process.go
+++ b/internal/bench/process.go
@@ -22,6 +22,9 @@
 type Usage struct {
 	CPU      time.Duration
 	RSSBytes uint64
+	// IOBytes is what went through read and write: TCP, files and logs. The
+	// UDP packets between the daemons go other ways and are not in it.
+	IOBytes uint64
 }
 
 // usageOf reads the usage of the process whose id is in a pid file.
@@ -43,14 +46,22 @@
 	if err != nil {
 		return Usage{}, err
 	}
-	return Usage{CPU: time.Duration(ticks) * clockTick, RSSBytes: residentBytes(string(status))}, nil
+	io, err := os.ReadFile(filepath.Join(dir, "io"))
+	if err != nil {
+		return Usage{}, err
+	}
+	return Usage{
+		CPU:      time.Duration(ticks) * clockTick,
+		RSSBytes: field(string(status), "VmRSS:") << 10,
+		IOBytes:  field(string(io), "rchar:") + field(string(io), "wchar:"),
+	}, nil
 }
 
-// ticksOf returns user and system time; the command's name may hold spaces.
+// ticksOf returns user and system time; the command's name stands in brackets
+// and may itself hold spaces and brackets, as in "(a name) with)".
 func ticksOf(stat string) (uint64, error) {
-	_, rest, found := strings.Cut(stat, ") ")
-	fields := strings.Fields(rest)
-	if !found || len(fields) <= systemField {
+	fields := strings.Fields(stat[strings.LastIndex(stat, ")")+1:])
+	if len(fields) <= systemField {
 		return 0, fmt.Errorf("bench: unreadable process state %q", stat)
 	}
 	user, errUser := strconv.ParseUint(fields[userField], 10, 64)
@@ -61,11 +72,12 @@
 	return user + system, nil
 }
 
-func residentBytes(status string) uint64 {
-	for line := range strings.Lines(status) {
-		if value, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			kb, _ := strconv.ParseUint(strings.TrimSuffix(strings.TrimSpace(value), " kB"), 10, 64)
-			return kb << 10
+// field returns the number in the line that starts with name, or zero.
+func field(text, name string) uint64 {
+	for line := range strings.Lines(text) {
+		if value, ok := strings.CutPrefix(line, name); ok {
+			n, _ := strconv.ParseUint(strings.TrimSuffix(strings.TrimSpace(value), " kB"), 10, 64)
+			return n
 		}
 	}
 	return 0
