A lease got back counts only after a won write

Now a broken lease counts again only after a write that was proposed since; that write also makes late writes of others fail.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -92,9 +92,14 @@
 
 // lease is this host's view of the cell's lease in the platform's service.
 type lease struct {
-	until   time.Time // counted from before the call was sent
-	asked   time.Time
-	pending bool
+	until time.Time // counted from before the call was sent
+	// start is when the unbroken lease began. A lead that lost its lease and
+	// got it back may have been succeeded meanwhile: the lease counts again
+	// once a write that was proposed since start has been won.
+	start    time.Time
+	verified bool
+	asked    time.Time
+	pending  bool
 	// contact is when the newest call that reached the store was sent.
 	contact time.Time
 	// lastFailed is when a call last came back without reaching the store.
@@ -106,7 +111,7 @@
 	extendGrants, noInventory, manyUnaccounted, lonely        bool
 	lapseFromAnchor, sharedPromises, noSilence, standbyUnread bool
 	noIntents, deputyIntents, forgetRemoved, noParentCheck    bool
-	assumeLost, leaseFromAnswer                               bool
+	assumeLost, leaseFromAnswer, leaseUnverified              bool
 }
 
 // New returns the cell's core for one host. It does nothing before the first
@@ -272,8 +277,11 @@
 // leading reports whether this host leads the cell at the document's term.
 func (c *Cell) leading() bool { return c.role == leader }
 
-// leaseValid reports whether this host's lease runs for certain.
-func (c *Cell) leaseValid() bool { return c.leading() && c.now.Before(c.lease.until) }
+// leaseValid reports whether this host leads with a lease that runs for
+// certain and was unbroken since the document is known to be the newest.
+func (c *Cell) leaseValid() bool {
+	return c.leading() && c.now.Before(c.lease.until) && (c.lease.verified || c.knobs.leaseUnverified)
+}
 
 // row returns the row as it is in force, with a standby activated by this lead.
 func (c *Cell) row(i int) Row {
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -178,6 +178,7 @@
 func (c *Cell) leadCell() {
 	c.askLease(c.cfg.Timing.LeaseRenew)
 	c.heartbeat()
+	c.verifyLease()
 	c.settle()
 	c.standbys()
 	c.maintain()
--- a/internal/cell/fault_test.go
+++ b/internal/cell/fault_test.go
@@ -83,7 +83,11 @@
 		if w.chance(0.5) {
 			w.perform(h, h.cell.Tick(h.at(w.now)))
 		}
-		for _, do := range waiting {
+		for i, do := range waiting {
+			if w.now < h.paused {
+				h.waiting = append(h.waiting, waiting[i:]...)
+				return
+			}
 			do()
 		}
 	})
--- a/internal/cell/run_test.go
+++ b/internal/cell/run_test.go
@@ -100,3 +100,60 @@
 		t.Error(f)
 	}
 }
+
+// TestKeptSeeds plays the runs that once found a fault.
+func TestKeptSeeds(t *testing.T) {
+	tests := map[string]uint64{
+		"stale lead gets the lapsed lease back":                 3574,
+		"stale lead grants to a restarted target":               435,
+		"a pause between two effects reorders published tables": 1660,
+	}
+	for name, seed := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, newWorld(optionsOf(seed)).run(), "")
+		})
+	}
+}
+
+// TestRulesNeeded breaks one rule after the other and counts the runs that
+// notice. It takes minutes: CELL_BREAK names the number of runs per rule.
+func TestRulesNeeded(t *testing.T) {
+	count := number("CELL_BREAK", 0)
+	if count == 0 {
+		t.Skip("CELL_BREAK is not set")
+	}
+	for _, rule := range brokenRules {
+		if only := os.Getenv("CELL_RULE"); only != "" && only != rule.name {
+			continue
+		}
+		r := runMany(number("CELL_SEED", 1), count, rule.breakIt)
+		first := ""
+		if len(r.failed) > 0 {
+			first = r.failed[0]
+		}
+		t.Logf("%-34s %5d of %d runs fail; %s", rule.name, len(r.failed), count, first)
+	}
+}
+
+// brokenRules lists each rule of ownership with the change that breaks it.
+var brokenRules = []struct {
+	name    string
+	breakIt func(*options)
+}{
+	{"anchored grants", func(o *options) { o.noAnchor = true }},
+	{"extend is not grant", func(o *options) { o.knobs.extendGrants = true }},
+	{"inventory at take-over", func(o *options) { o.knobs.noInventory = true }},
+	{"at most one unaccounted", func(o *options) { o.knobs.manyUnaccounted = true }},
+	{"lonely lead stops", func(o *options) { o.knobs.lonely = true }},
+	{"lapse from start of promises", func(o *options) { o.knobs.lapseFromAnchor = true }},
+	{"exclusive promises", func(o *options) { o.knobs.sharedPromises = true }},
+	{"silence of a restarted host", func(o *options) { o.knobs.noSilence = true }},
+	{"read the store first", func(o *options) { o.knobs.standbyUnread = true }},
+	{"acknowledged intents", func(o *options) { o.knobs.noIntents = true }},
+	{"deputy skips intents", func(o *options) { o.knobs.deputyIntents = true }},
+	{"removed hosts count", func(o *options) { o.knobs.forgetRemoved = true }},
+	{"parent of a solo key ended", func(o *options) { o.knobs.noParentCheck = true }},
+	{"lost answer is not a failure", func(o *options) { o.knobs.assumeLost = true }},
+	{"lease counts from sending", func(o *options) { o.knobs.leaseFromAnswer = true }},
+	{"lease got back is verified", func(o *options) { o.knobs.leaseUnverified = true }},
+}
--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -17,7 +17,8 @@
 	pending bool
 	doc     Doc
 	expect  platform.Revision
-	sent    time.Time
+	// proposed is when the first attempt was sent, sent the newest.
+	proposed, sent time.Time
 	// flying tells that no outcome of the newest attempt has come back.
 	flying bool
 	// unknown tells that an earlier attempt may have taken effect.
@@ -35,7 +36,7 @@
 	if c.hasDoc && !c.checkStep(&c.doc, &doc) {
 		return
 	}
-	c.write = write{pending: true, doc: doc, expect: c.revision, changed: changedShards(&c.doc, &doc)}
+	c.write = write{pending: true, doc: doc, expect: c.revision, proposed: c.now, changed: changedShards(&c.doc, &doc)}
 	c.sendWrite()
 }
 
@@ -95,8 +96,11 @@
 
 // won adopts the pending write as committed.
 func (c *Cell) won(revision platform.Revision) {
-	doc := c.write.doc
+	doc, proposed := c.write.doc, c.write.proposed
 	c.write = write{}
+	if !proposed.Before(c.lease.start) && c.now.Before(c.lease.until) {
+		c.lease.verified = true
+	}
 	if revision < c.revision {
 		return
 	}
@@ -183,10 +187,24 @@
 		from = c.now
 	}
 	if ev.Held {
+		if l.until.Before(ev.SentAt) {
+			l.start, l.verified = c.now, false
+		}
 		l.until = latest(l.until, from.Add(c.shorter(c.cfg.Timing.Lease)))
 		return
 	}
-	l.until = time.Time{}
+	l.until, l.verified = time.Time{}, false
+}
+
+// verifyLease writes the document unchanged, but for activated standbys. It
+// also makes any write of another host that is still on its way fail.
+func (c *Cell) verifyLease() {
+	if c.lease.verified || !c.now.Before(c.lease.until) || c.write.pending {
+		return
+	}
+	d := c.newDraft()
+	c.saveActivations(d)
+	c.propose(d.doc)
 }
 
 func latest(a, b time.Time) time.Time {
