--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -15,6 +15,8 @@
 const (
 	// tickInterval is how often a cell's systems run.
 	tickInterval = 50 * time.Millisecond
+	// showInterval is how often others see a cell's state anew.
+	showInterval = 250 * time.Millisecond
 	// eventBuffer is how many events wait for a cell before senders wait too.
 	eventBuffer = 256
 	// orderTimeout bounds one order; a later renewal follows anyway.
@@ -37,6 +39,7 @@
 	calls   sync.WaitGroup
 	peers   map[place.Host]place.HostRow
 	state   snapshot
+	shown   time.Time
 }
 
 // newRunner returns a runner for the cell of cfg. It has to be run.
@@ -71,12 +74,21 @@
 		case ev := <-r.events:
 			r.handle(ctx, ev)
 		case <-tick.C:
-			r.apply(ctx, r.core.Tick(time.Now()))
-			r.state.store(r.core.Status(time.Now()))
+			now := time.Now()
+			r.apply(ctx, r.core.Tick(now))
+			r.show(now)
 		}
 	}
 }
 
+// show lets other goroutines see the cell's state, at intervals.
+func (r *runner) show(now time.Time) {
+	if now.Sub(r.shown) >= showInterval {
+		r.shown = now
+		r.state.store(r.core.Status(now))
+	}
+}
+
 // handle gives one event to the core.
 func (r *runner) handle(ctx context.Context, ev cell.Event) {
 	if fleet, ok := ev.(cell.FleetSeen); ok {
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -171,11 +171,6 @@
 	if r.session == nil {
 		return !unused || r.dialing != nil
 	}
-	if _, err := r.owner.keys.Verify(now, r.session.chain); err != nil {
-		r.session.close(codeDenied)
-		r.session = nil
-		return true
-	}
 	if unused {
 		r.session.close(codeUnused)
 		r.session = nil
@@ -183,6 +178,19 @@
 	return !unused
 }
 
+// verify ends the connection if its certificate is no longer valid.
+func (r *remote) verify(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.session == nil {
+		return
+	}
+	if _, err := r.owner.keys.Verify(now, r.session.chain); err != nil {
+		r.session.close(codeDenied)
+		r.session = nil
+	}
+}
+
 func (r *remote) close(code quic.ApplicationErrorCode) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/peer/quic.go
+++ b/internal/peer/quic.go
@@ -28,6 +28,9 @@
 	idleTimeout      = 6 * time.Second
 	keepAlive        = 2 * time.Second
 	defaultUpkeep    = 2 * time.Second
+	// verifyInterval is the time between two checks that the certificates of
+	// open connections are still in their period; new keys check them at once.
+	verifyInterval = 30 * time.Second
 	// unusedTimeout is how long a connection without calls is kept.
 	unusedTimeout = time.Minute
 	// maxSessions bounds the connections that others opened.
@@ -103,6 +106,7 @@
 	handlers map[Kind]Handler
 	remotes  map[netip.AddrPort]*remote
 	sessions map[*session]struct{}
+	verified time.Time
 }
 
 var _ Link = (*Peer)(nil)
@@ -256,11 +260,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for s := range p.sessions {
-		if _, err := p.keys.Verify(now, s.chain); err != nil {
-			p.log.Warn("connection ended, its certificate is no longer valid", slog.String("host", string(s.identity.Host)))
-			s.close(codeDenied)
-		}
+	if changed || now.Sub(p.verified) >= verifyInterval {
+		p.verified = now
+		p.verify(now)
 	}
 	for addr, r := range p.remotes {
 		if !r.upkeep(now) {
@@ -268,3 +270,17 @@
 		}
 	}
 }
+
+// verify ends the connections whose certificates are no longer valid. The
+// caller holds mu.
+func (p *Peer) verify(now time.Time) {
+	for s := range p.sessions {
+		if _, err := p.keys.Verify(now, s.chain); err != nil {
+			p.log.Warn("Connection ended, its certificate is no longer valid.", slog.String("host", string(s.identity.Host)))
+			s.close(codeDenied)
+		}
+	}
+	for _, r := range p.remotes {
+		r.verify(now)
+	}
+}
