Evict the cells of lost and silent zones, a step a write

Cause: a zone that is lost, declared or past its hold, has to give its shards to the others without a doubled owner when it comes back. After: next zones in custody, the lost cell gives up at a higher term, then the new zones; a gap in the watch starts the silence anew; transfers start only to zones that answer. All steps tested with crashes between them. Conclusion: hold counts from the last lease held, not from contact, since another zone holds the lease while it waits.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -102,6 +102,8 @@
 	pending  bool
 	// contact is when the newest call that reached the store was sent.
 	contact time.Time
+	// held is when the newest call that took or renewed the lease was sent.
+	held time.Time
 	// lastFailed is when a call last came back without reaching the store.
 	lastFailed time.Time
 }
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -231,10 +231,11 @@
 	return c.leading() && members == 0 && !c.write.pending
 }
 
-// overHold reports whether the store has been out of reach for longer than
-// the service allows.
+// overHold reports whether this host has been without the lease for longer
+// than the service allows. Contact alone does not count: another zone that
+// waits for the hold to pass has taken the lease, and counts from there.
 func (c *Cell) overHold() bool {
-	return c.cfg.Hold > 0 && c.now.After(c.lease.contact.Add(c.shorter(c.cfg.Hold)))
+	return c.cfg.Hold > 0 && c.now.After(c.lease.held.Add(c.shorter(c.cfg.Hold)))
 }
 
 // allPromised reports whether every roster host promises to this one and has
--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -187,6 +187,7 @@
 		from = c.now
 	}
 	if ev.Held {
+		l.held = latest(l.held, ev.SentAt)
 		if l.until.Before(ev.SentAt) {
 			l.start, l.verified = c.now, false
 		}
--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -38,7 +38,7 @@
 	Zone place.Zone
 	// Next is the zone of a transfer under way, or empty.
 	Next place.Zone
-	// Floor is the epoch that the shard's next owner has to exceed.
+	// Floor is the lowest epoch that the shard may be granted at.
 	Floor grant.Epoch
 }
 
@@ -138,13 +138,7 @@
 // Of returns the shards that a zone's cell may own now: those in its custody
 // without a transfer under way.
 func (d Doc) Of(zone place.Zone) []cell.CustodyRow {
-	var out []cell.CustodyRow
-	for s, r := range d.Rows {
-		if r.Zone == zone && r.Next == "" {
-			out = append(out, cell.CustodyRow{Shard: key.Shard(s), Floor: r.Floor})
-		}
-	}
-	return out
+	return d.pick(func(r Row) bool { return r.stays(zone) })
 }
 
 // Count returns how many shards are, or are about to be, in each zone.
--- a/internal/custody/custody_test.go
+++ b/internal/custody/custody_test.go
@@ -33,23 +33,30 @@
 	}
 }
 
-func TestLoseHandsOverAboveTheLostEpochs(t *testing.T) {
+func TestEvictHandsOverAboveTheLostEpochs(t *testing.T) {
 	doc := custody.First("balance", 64, weights(1, 1, 1))
-	last := cell.Doc{}
-	for _, row := range doc.Of("a") {
+	last := cell.Doc{Term: 7, Lead: "host-1"}
+	all := doc.Of("a")
+	for _, row := range all[1:] {
 		last.Rows = append(last.Rows, cell.Row{Shard: row.Shard, Epoch: 41})
 	}
-	next, changed := custody.Lose(doc, "a", weights(1, 1, 1), last)
+	doc, changed := custody.Evict(doc, "a", weights(0, 1, 1))
 	assert.Assert(t, changed)
-	assert.Equal(t, next.Count()["a"], 0)
-	for _, row := range last.Rows {
-		assert.Assert(t, next.Rows[row.Shard].Floor > 41)
+	assert.Equal(t, len(doc.Of("a")), 0)
+	last = cell.Evict(last, 9, doc.Leaving("a"), grant.Declared{By: "ops", Reason: "fire"})
+	assert.Equal(t, last.Term, grant.Term(8))
+	assert.Equal(t, len(last.Rows), 0)
+	doc, changed = custody.Settle(doc, "a", last.Given)
+	assert.Assert(t, changed)
+	assert.Equal(t, doc.Count()["a"], 0)
+	for _, row := range all {
+		assert.Assert(t, doc.Rows[row.Shard].Floor > 41)
 	}
-	_, again := custody.Lose(next, "a", weights(1, 1, 1), last)
+	_, again := custody.Evict(doc, "a", weights(0, 1, 1))
 	assert.Assert(t, !again)
 }
 
-// TestTransfers drives plans, settlements and losses at random: a shard is in
+// TestTransfers drives plans, settlements and evictions at random: a shard is in
 // one zone at every step, no floor falls, no transfer changes its target zone
 // on the way, and the shares are reached once the weights stand still.
 func TestTransfers(t *testing.T) {
@@ -60,7 +67,7 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			before := doc
 			zone := rapid.SampledFrom(zones).Draw(t, "zone")
-			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0:
 				n := rapid.IntRange(0, 3)
 				w = weights(n.Draw(t, "a"), n.Draw(t, "b"), n.Draw(t, "c"))
@@ -68,6 +75,8 @@
 				doc, _ = custody.Plan(doc, zone, w, rapid.IntRange(0, 8).Draw(t, "budget"))
 			case 2:
 				doc, _ = custody.Settle(doc, zone, someGiven(t, doc))
+			case 3:
+				doc, _ = custody.Evict(doc, zone, w)
 			}
 			checkStep(t, before, doc)
 		}
--- a/internal/custody/plan.go
+++ b/internal/custody/plan.go
@@ -1,10 +1,7 @@
 package custody
 
 import (
-	"slices"
-
 	"citrontray.example/citrontray/internal/cell"
-	"citrontray.example/citrontray/internal/grant"
 	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/place"
 )
@@ -13,10 +10,6 @@
 // transferred for balance. A zone without targets has no slack.
 const slackPercent = 20
 
-// lostEpochStep is added to the epochs of a lost zone: more than the standbys
-// that the zone could have activated without the store having heard of it.
-const lostEpochStep grant.Epoch = 1 << 10
-
 // Plan starts transfers out of the zone from, where it has more than its share,
 // to the zones that have less, at most budget shards of them. It reports
 // whether the document changed. Each zone's lead plans for its own zone, so a
@@ -37,7 +30,7 @@
 		if moved == min(budget, over[from]) {
 			break
 		}
-		if row.Next != "" || row.Zone != from {
+		if !row.stays(from) {
 			continue
 		}
 		to := takeBest(d.Service, key.Shard(s), room)
@@ -92,38 +85,43 @@
 	return out, changed
 }
 
-// Lose hands the shards of a zone that an operator declared lost to the
-// others. The last is the zone's own document: it gives the epochs to exceed.
-func Lose(d Doc, zone place.Zone, weights []Weight, last cell.Doc) (Doc, bool) {
-	left := slices.DeleteFunc(slices.Clone(weights), func(w Weight) bool { return w.Zone == zone })
-	rows := lostRows(d, zone)
-	share := quotas(rows, left)
-	if rows == 0 || share == nil {
+// Evict starts the transfer of all shards of a zone that is lost to the zones
+// of the weights, the lost one not among them. It reports whether the document
+// changed.
+func Evict(d Doc, zone place.Zone, weights []Weight) (Doc, bool) {
+	share := quotas(staying(d, zone), weights)
+	if staying(d, zone) == 0 || share == nil {
 		return d, false
 	}
-	epochs := make(map[key.Shard]grant.Epoch, len(last.Rows))
-	for _, r := range last.Rows {
-		epochs[r.Shard] = r.Epoch
-	}
 	out := d.Clone()
 	for s := range out.Rows {
-		row := &out.Rows[s]
-		if row.Zone != zone {
-			continue
+		if row := &out.Rows[s]; row.stays(zone) {
+			row.Next = takeBest(d.Service, key.Shard(s), share)
 		}
-		floor := max(row.Floor, epochs[key.Shard(s)]) + lostEpochStep
-		*row = Row{Zone: takeBest(d.Service, key.Shard(s), share), Floor: floor}
 	}
 	return out, true
 }
 
-// lostRows counts the shards in the custody of a zone.
-func lostRows(d Doc, zone place.Zone) int {
-	n := 0
-	for _, r := range d.Rows {
-		if r.Zone == zone {
-			n++
+// staying counts the shards of a zone that are not under transfer.
+func staying(d Doc, zone place.Zone) int {
+	return len(d.Of(zone))
+}
+
+// stays reports whether the shard is in the zone and not under transfer.
+func (r Row) stays(zone place.Zone) bool { return r.Zone == zone && r.Next == "" }
+
+// Leaving returns the shards that are under transfer out of a zone.
+func (d Doc) Leaving(zone place.Zone) []cell.CustodyRow {
+	return d.pick(func(r Row) bool { return r.Zone == zone && r.Next != "" })
+}
+
+// pick returns the shards whose rows match.
+func (d Doc) pick(match func(Row) bool) []cell.CustodyRow {
+	var out []cell.CustodyRow
+	for s, r := range d.Rows {
+		if match(r) {
+			out = append(out, cell.CustodyRow{Shard: key.Shard(s), Floor: r.Floor})
 		}
 	}
-	return n
+	return out
 }
--- a/internal/lead/daemon.go
+++ b/internal/lead/daemon.go
@@ -78,6 +78,7 @@
 		runners: make(map[cell.ID]*runner),
 	}
 	d.link.Handle(peer.KindCell, d.handleCell)
+	d.link.Handle(peer.KindStatus, d.handleStatus)
 	return d
 }
 
@@ -136,6 +137,11 @@
 	return nil, nil
 }
 
+// handleStatus answers a peer's question whether this process runs.
+func (d *Daemon) handleStatus(context.Context, peer.Identity, []byte) ([]byte, error) {
+	return []byte(d.cfg.Host), nil
+}
+
 // all returns the runners of all cells.
 func (d *Daemon) all() []*runner {
 	d.mu.Lock()
--- /dev/null
+++ b/internal/lead/evict_test.go
@@ -0,0 +1,201 @@
+package lead
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/cell"
+	"citrontray.example/citrontray/internal/custody"
+	"citrontray.example/citrontray/internal/grant"
+	"citrontray.example/citrontray/internal/journal"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/peer"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/platform"
+	"citrontray.example/citrontray/internal/settings"
+	"citrontray.example/citrontray/internal/spread"
+	"citrontray.example/citrontray/internal/standin"
+)
+
+// fakeLink is a peer link on which some addresses answer.
+type fakeLink struct{ answering map[netip.AddrPort]bool }
+
+func (l *fakeLink) Call(_ context.Context, to netip.AddrPort, _ peer.Kind, _ []byte) ([]byte, error) {
+	if l.answering[to] {
+		return nil, nil
+	}
+	return nil, errors.New("no answer")
+}
+
+func (l *fakeLink) Handle(peer.Kind, peer.Handler) {}
+
+// zones is a deployment of zones a and b, seen by the keeper of b's lead.
+type zones struct {
+	*keeper
+	platform *standin.Platform
+	link     *fakeLink
+	view     *view
+	service  settings.Service
+	now      time.Time
+}
+
+var (
+	cellA = cell.ID{Service: "balance", Zone: "a"}
+	cellB = cell.ID{Service: "balance", Zone: "b"}
+	hostA = place.HostRow{Host: "host-a", Zone: "a", Lead: netip.MustParseAddrPort("127.0.0.1:1")}
+)
+
+func newZones(t *testing.T, hold time.Duration) *zones {
+	t.Helper()
+	z := &zones{
+		platform: standin.NewPlatform(),
+		link:     &fakeLink{answering: make(map[netip.AddrPort]bool)},
+		service:  settings.Service{Name: "balance", Shards: 16, Zones: []place.Zone{"a", "b"}, Hold: hold},
+		now:      time.Now(),
+	}
+	d := New(Config{Host: "host-b", Zone: "b", Timing: cell.DefaultTiming()}, Parts{
+		Store: z.platform, Link: z.link, Board: spread.New(), Log: journal.Nop(),
+	})
+	r := newRunner(d, d.cellConfig(z.service))
+	r.state.store(cell.Status{ID: cellB, LeaseHeld: true})
+	d.runners[cellB] = r
+	z.keeper = newKeeper(d)
+	z.view = &view{
+		settings: &settings.Settings{Services: []settings.Service{z.service}},
+		fleet: platform.Fleet{Hosts: []place.HostRow{hostA}, Targets: []place.TargetRow{
+			{Target: "t-a", Service: "balance", Zone: "a"}, {Target: "t-b", Service: "balance", Zone: "b"},
+		}},
+		custody: make(map[key.Service]custodyDoc),
+	}
+	first := custody.First("balance", 16, z.view.weights(z.service))
+	z.write(t.Context(), first, 0)
+	a := cell.Doc{ID: cellA, Term: 3, Lead: "host-a"}
+	for _, row := range first.Of("a") {
+		a.Rows = append(a.Rows, cell.Row{Shard: row.Shard, Epoch: 5, Owner: cell.NoTarget, Standby: cell.NoTarget})
+	}
+	z.writeCell(t.Context(), a, 0)
+	return z
+}
+
+// round runs the keeper once, d later.
+func (z *zones) round(t *testing.T, d time.Duration) custody.Doc {
+	t.Helper()
+	z.now = z.now.Add(d)
+	v, _ := z.library.look()
+	z.view.custody = v.custody
+	doc := z.view.custody["balance"]
+	if next, changed := z.next(t.Context(), z.now, z.view, z.service, doc); changed {
+		z.write(t.Context(), next, doc.revision)
+	}
+	v, _ = z.library.look()
+	return v.custody["balance"].Doc
+}
+
+func TestDeclaredZoneIsEvicted(t *testing.T) {
+	z := newZones(t, 0)
+	z.view.settings.Losses = []settings.Loss{{Zone: "a", By: "ops", Reason: "fire"}}
+
+	doc := z.round(t, time.Second)
+	assert.Equal(t, len(doc.Of("a")), 0, "step 1: custody names the next zones")
+	assert.Equal(t, len(doc.Of("b")), 8)
+
+	z.round(t, time.Second)
+	a, _, err := z.readCell(t.Context(), cellA)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Term, grant.Term(4), "step 2: the lost cell's term rises")
+	assert.Equal(t, len(a.Rows), 0)
+	assert.Equal(t, len(a.Given), 8)
+
+	z.round(t, time.Second)
+	doc = z.round(t, time.Second)
+	assert.Equal(t, len(doc.Of("b")), 8, "grants of a live zone have not ended yet")
+
+	doc = z.round(t, 4*time.Second)
+	assert.Equal(t, len(doc.Of("b")), 16, "step 3: custody is b's")
+	for _, row := range doc.Of("b") {
+		assert.Assert(t, row.Floor == 0 || row.Floor > 5)
+	}
+}
+
+// TestEvictionGoesOnAfterACrash runs each step in a keeper that knows nothing
+// of the steps before it.
+func TestEvictionGoesOnAfterACrash(t *testing.T) {
+	z := newZones(t, 0)
+	z.view.settings.Losses = []settings.Loss{{Zone: "a", By: "ops", Reason: "fire"}}
+	for range 3 {
+		z.keeper = newKeeper(z.Daemon)
+		z.round(t, time.Second)
+	}
+	doc := z.round(t, 5*time.Second)
+	assert.Equal(t, len(doc.Of("b")), 16)
+}
+
+func TestSilentZoneIsEvictedAfterItsHold(t *testing.T) {
+	z := newZones(t, 10*time.Second)
+	for range 13 {
+		doc := z.round(t, time.Second)
+		assert.Equal(t, len(doc.Of("a")), 8, "the hold and the grants run")
+	}
+	for range 20 {
+		doc := z.round(t, time.Second)
+		assert.Assert(t, len(doc.Of("b")) >= 8, "b gives nothing to a zone that does not answer")
+	}
+	assert.Equal(t, len(z.round(t, time.Second).Of("b")), 16)
+
+	z.link.answering[hostA.Lead] = true
+	for range 15 {
+		z.round(t, time.Second)
+	}
+	doc := z.round(t, time.Second)
+	assert.Equal(t, len(doc.Leaving("b")), 8, "the zone is back and gets its share")
+}
+
+func TestZoneIsNotEvicted(t *testing.T) {
+	for name, test := range map[string]struct {
+		hold    time.Duration
+		arrange func(t *testing.T, z *zones)
+	}{
+		"hold is forever": {0, func(*testing.T, *zones) {}},
+		"a peer answers": {time.Second, func(_ *testing.T, z *zones) {
+			z.link.answering[hostA.Lead] = true
+		}},
+		"its lead renews the lease, though it is cut from the peers": {time.Second, func(t *testing.T, z *zones) {
+			_, err := z.platform.Acquire(t.Context(), leaseName(cellA), "host-a", time.Hour)
+			assert.NilError(t, err)
+		}},
+		"the store is down": {time.Second, func(_ *testing.T, z *zones) {
+			z.platform.SetFaults(standin.PlatformFaults{Down: true})
+		}},
+		"this host leads nothing": {time.Second, func(_ *testing.T, z *zones) {
+			z.runners[cellB].state.store(cell.Status{ID: cellB})
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			z := newZones(t, test.hold)
+			test.arrange(t, z)
+			for range 30 {
+				doc := z.round(t, time.Second)
+				assert.Equal(t, len(doc.Of("a")), 8)
+			}
+		})
+	}
+}
+
+// TestSilenceStartsAnewAfterAGap: this host was paused for longer than the
+// lease of the silent zone, so that zone's lead may have held it in between.
+func TestSilenceStartsAnewAfterAGap(t *testing.T) {
+	z := newZones(t, 10*time.Second)
+	for range 10 {
+		z.round(t, time.Second)
+	}
+	before := z.silences[cellA].since
+	z.round(t, time.Minute)
+	z.round(t, time.Second)
+	assert.Assert(t, z.silences[cellA].since.After(before))
+	assert.Equal(t, len(z.round(t, time.Second).Of("a")), 8)
+}
--- a/internal/lead/keeper.go
+++ b/internal/lead/keeper.go
@@ -31,7 +31,10 @@
 // Every write is a compare-and-swap, so keepers on several hosts may race.
 type keeper struct {
 	*Daemon
-	steady map[string]steadyShare
+	steady   map[string]steadyShare
+	silences map[cell.ID]silence
+	// evicted is since when a cell's document shows that it gave up.
+	evicted map[cell.ID]time.Time
 }
 
 // steadyShare is since when the zones of a service have had these shares.
@@ -41,7 +44,12 @@
 }
 
 func newKeeper(d *Daemon) *keeper {
-	return &keeper{Daemon: d, steady: make(map[string]steadyShare)}
+	return &keeper{
+		Daemon:   d,
+		steady:   make(map[string]steadyShare),
+		silences: make(map[cell.ID]silence),
+		evicted:  make(map[cell.ID]time.Time),
+	}
 }
 
 // run keeps custody until ctx ends.
@@ -94,44 +102,35 @@
 	if next, changed := custody.Settle(doc.Doc, k.cfg.Zone, state.Given); changed {
 		return next, true
 	}
-	weights := v.weights(s)
-	if next, changed := k.lose(ctx, v, s, doc, weights); changed {
+	if next, changed := k.evict(ctx, now, v, s, doc); changed {
 		return next, true
 	}
-	if !k.isSteady(now, s, weights) || transfers(doc.Doc, k.cfg.Zone) > 0 {
+	weights := v.weights(s)
+	if !k.isSteady(now, s, weights) || len(doc.Leaving(k.cfg.Zone)) > 0 {
+		return custody.Doc{}, false
+	}
+	next, changed := custody.Plan(doc.Doc, k.cfg.Zone, weights, transfersPerRound)
+	if !changed || !k.takers(ctx, v, next) {
 		return custody.Doc{}, false
 	}
-	return custody.Plan(doc.Doc, k.cfg.Zone, weights, transfersPerRound)
+	return next, true
 }
 
-// lose hands over the custody of a zone that an operator declared lost.
-func (k *keeper) lose(ctx context.Context, v *view, s settings.Service, doc custodyDoc, weights []custody.Weight) (custody.Doc, bool) {
-	for _, zone := range v.zones(s) {
-		if zone == k.cfg.Zone || !v.zoneLost(zone) {
+// takers reports whether hosts answer in every zone that shards of this zone
+// are about to go to. A zone that is cut off is in the fleet list for a while,
+// and its own shards may just have come here.
+func (k *keeper) takers(ctx context.Context, v *view, next custody.Doc) bool {
+	asked := make(map[place.Zone]bool)
+	for _, row := range next.Rows {
+		if row.Zone != k.cfg.Zone || row.Next == "" || asked[row.Next] {
 			continue
 		}
-		last, err := k.lastDoc(ctx, cell.ID{Service: s.Name, Zone: zone})
-		if err != nil {
-			k.log.Warn("Lost zone's document not read.", slog.Any("error", err))
-			continue
-		}
-		if next, changed := custody.Lose(doc.Doc, zone, weights, last); changed {
-			return next, true
+		if !k.answers(ctx, v.hosts(row.Next)) {
+			return false
 		}
+		asked[row.Next] = true
 	}
-	return custody.Doc{}, false
-}
-
-// lastDoc reads the document of another zone's cell; it may not exist.
-func (k *keeper) lastDoc(ctx context.Context, id cell.ID) (cell.Doc, error) {
-	entry, err := k.store.Get(ctx, docPath(id))
-	if errors.Is(err, platform.ErrNotFound) {
-		return cell.Doc{ID: id}, nil
-	}
-	if err != nil {
-		return cell.Doc{}, err
-	}
-	return cell.DecodeDoc(entry.Value)
+	return true
 }
 
 // leading returns the state of a cell if this host leads it now.
@@ -180,17 +179,6 @@
 	})
 }
 
-// transfers counts the shards that are on their way out of a zone.
-func transfers(doc custody.Doc, zone place.Zone) int {
-	n := 0
-	for _, row := range doc.Rows {
-		if row.Zone == zone && row.Next != "" {
-			n++
-		}
-	}
-	return n
-}
-
 // equalWeights reports whether two lists of shares are the same.
 func equalWeights(a, b []custody.Weight) bool {
 	if len(a) != len(b) {
--- a/internal/lead/view.go
+++ b/internal/lead/view.go
@@ -104,11 +104,21 @@
 	})
 }
 
-// zoneLost reports whether an operator declared the whole zone lost.
-func (v *view) zoneLost(zone place.Zone) bool {
-	return slices.ContainsFunc(v.settings.Losses, func(l settings.Loss) bool {
+// zoneLoss returns the operators' declaration that a whole zone is lost.
+func (v *view) zoneLoss(zone place.Zone) (settings.Loss, bool) {
+	i := slices.IndexFunc(v.settings.Losses, func(l settings.Loss) bool {
 		return l.Zone == zone && l.Target == "" && l.Host == ""
 	})
+	if i < 0 {
+		return settings.Loss{}, false
+	}
+	return v.settings.Losses[i], true
+}
+
+// zoneOut reports whether a zone takes no custody: drained or lost.
+func (v *view) zoneOut(zone place.Zone) bool {
+	_, lost := v.zoneLoss(zone)
+	return lost || v.zoneDrained(zone)
 }
 
 // losses returns the declared losses of single targets and hosts.
@@ -130,7 +140,7 @@
 	out := make([]custody.Weight, 0, len(zones))
 	for _, zone := range zones {
 		w := custody.Weight{Zone: zone}
-		if !v.zoneDrained(zone) && !v.zoneLost(zone) {
+		if !v.zoneOut(zone) {
 			w.Targets = v.usable(s, zone)
 		}
 		out = append(out, w)
@@ -138,6 +148,11 @@
 	return out
 }
 
+// weightsWithout returns the shares as they are without one zone.
+func (v *view) weightsWithout(s settings.Service, zone place.Zone) []custody.Weight {
+	return slices.DeleteFunc(v.weights(s), func(w custody.Weight) bool { return w.Zone == zone })
+}
+
 // usable counts the targets of a zone that may own shards.
 func (v *view) usable(s settings.Service, zone place.Zone) int {
 	n := 0
