Requests with an idempotency key run at one entry host, their target's home

Cause: a repetition may come to another entry host while the first copy waits. Now the home of the key's target, by rendezvous over the live entry hosts of its zone, runs all copies; hosts that hand work over ping each other and pass over a home that does not answer, but never with a key.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"citrontray.example/citrontray/internal/metric"
 	"citrontray.example/citrontray/internal/outcome"
 	"citrontray.example/citrontray/internal/peer"
+	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/queue"
 	"citrontray.example/citrontray/internal/route"
 	"citrontray.example/citrontray/internal/settings"
@@ -29,7 +30,12 @@
 	Board          spread.Board
 	DecodeSettings func([]byte) (*settings.Settings, error)
 	DecodeTable    func([]byte) (table.Table, error)
-	// Link carries load reports to leads; nil sends none.
+	// Host is this entry host.
+	Host place.Host
+	// Sharing is how entry hosts share the slots of a target.
+	Sharing Sharing
+	// Link carries load reports to leads and requests to homes; without it
+	// all is run here.
 	Link     peer.Link
 	Log      *slog.Logger
 	Registry *metric.Registry
@@ -68,6 +74,7 @@
 	parked  gate
 	memory  memory
 	view    atomic.Pointer[view]
+	homes   *homes
 
 	// refreshing guards what refresh alone changes.
 	refreshing      sync.Mutex
@@ -107,6 +114,10 @@
 		ctx:        ctx,
 		cancel:     cancel,
 		stopping:   make(chan struct{}),
+		homes:      newHomes(),
+	}
+	if cfg.Link != nil {
+		cfg.Link.Handle(peer.KindWork, e.HandleWork)
 	}
 	e.view.Store(&view{replaced: make(chan struct{})})
 	e.refresh(time.Now())
@@ -120,12 +131,14 @@
 	group.Go(func() error { return e.loop(ctx) })
 	if e.cfg.Link != nil {
 		group.Go(func() error { return e.loopReports(ctx) })
+		group.Go(func() error { return e.loopPings(ctx) })
 	}
 	return group.Wait()
 }
 
 func (e *Entry) loop(ctx context.Context) error {
 	settingsChanged := e.cfg.Board.Subscribe(spread.Settings)
+	fleetChanged := e.cfg.Board.Subscribe(spread.Fleet)
 	tablesChanged := e.cfg.Board.Subscribe(spread.TablePrefix)
 	e.refresh(time.Now())
 	ticker := time.NewTicker(e.cfg.Tick)
@@ -138,6 +151,8 @@
 			e.refresh(time.Now())
 		case <-tablesChanged:
 			e.refresh(time.Now())
+		case <-fleetChanged:
+			e.refresh(time.Now())
 		case now := <-ticker.C:
 			e.tick(now)
 		}
--- /dev/null
+++ b/internal/entry/home.go
@@ -0,0 +1,224 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"citrontray.example/citrontray/internal/outcome"
+	"citrontray.example/citrontray/internal/peer"
+	"citrontray.example/citrontray/internal/place"
+)
+
+// Sharing is how the entry hosts share a target's slots.
+type Sharing uint8
+
+const (
+	// ShareMixed sends directly while the target has free slots and hands
+	// over to its home while requests wait for one.
+	ShareMixed Sharing = iota
+	// ShareHome hands every request to the target's home, the one entry host
+	// that holds the target's queue.
+	ShareHome
+	// ShareAdaptive lets each entry host send by itself; the target refuses
+	// what is too much. Requests with an idempotency key still go home.
+	ShareAdaptive
+)
+
+const (
+	// homeGrace is how long past the deadline the home's last word is
+	// waited for: it tells not-run from unknown.
+	homeGrace = 100 * time.Millisecond
+)
+
+// dispatch runs the request here or at the home of its target.
+func (e *Entry) dispatch(ctx context.Context, w *work) outcome.Result {
+	if e.cfg.Link == nil || (e.cfg.Sharing == ShareAdaptive && w.join == "") {
+		return e.runHere(ctx, w)
+	}
+	for {
+		v := e.view.Load()
+		l := e.laneFor(v, w)
+		if l == nil {
+			if failure := e.park(ctx, v, w, outcome.NoOwner); failure != nil {
+				return w.final(failure)
+			}
+			continue
+		}
+		home, self := e.home(l, w.join != "")
+		if self {
+			return e.runHere(ctx, w)
+		}
+		if e.cfg.Sharing == ShareMixed && w.join == "" && l.free(time.Now()) {
+			if result := e.direct(ctx, w); result != nil {
+				return result
+			}
+			continue
+		}
+		if result := e.handOver(ctx, v, l, home, w); result != nil {
+			return w.final(result)
+		}
+	}
+}
+
+// direct tries the target without its home. It returns nil where the target
+// has no free slot; the request did not run then.
+func (e *Entry) direct(ctx context.Context, w *work) outcome.Result {
+	w.direct = true
+	defer func() { w.direct = false }()
+	return e.serve(ctx, w)
+}
+
+func (e *Entry) runHere(ctx context.Context, w *work) outcome.Result {
+	if w.join != "" {
+		return e.join(ctx, w)
+	}
+	return e.serve(ctx, w)
+}
+
+// laneFor returns the lane of the request's owner, or nil.
+func (e *Entry) laneFor(v *view, w *work) *lane {
+	s := v.services[w.request.Service]
+	if s == nil {
+		return nil
+	}
+	_, o := s.find(w.hash)
+	return o.lane
+}
+
+// home returns the home of a lane's target; self is true for this host. A
+// strict choice does not pass over a home that was not reached: a request
+// with an idempotency key may be there already.
+func (e *Entry) home(l *lane, strict bool) (place.HostRow, bool) {
+	ranked := l.homes.Load()
+	if ranked == nil || len(*ranked) == 0 {
+		return place.HostRow{}, true
+	}
+	for _, h := range *ranked {
+		if h.Host == e.cfg.Host {
+			return h, true
+		}
+		if strict || !e.homes.suspected(h.Host) {
+			return h, false
+		}
+	}
+	return place.HostRow{}, true
+}
+
+// handOver asks the home to run the request. It returns nil where the home
+// certainly did not take it.
+func (e *Entry) handOver(ctx context.Context, v *view, l *lane, home place.HostRow, w *work) outcome.Result {
+	now := time.Now()
+	if !w.deadline.After(now) {
+		return notRun(outcome.Deadline, retryAfter)
+	}
+	body, err := encodeWork(now, w)
+	if err != nil {
+		return outcome.NotRunFailure{Reason: outcome.BadHeader}
+	}
+	answer, err := e.callHome(ctx, home, w, body)
+	switch {
+	case err == nil:
+	case errors.Is(err, peer.ErrUnreachable), errors.Is(err, peer.ErrRefused):
+		return e.homeAway(ctx, v, home.Host, w)
+	case errors.Is(err, peer.ErrTooLarge):
+		return outcome.NotRunFailure{Reason: outcome.BodyTooBig}
+	default:
+		return e.homeLost(ctx, home.Host, w)
+	}
+	result, waited, err := decodeResult(answer)
+	if waited {
+		l.contend(time.Now())
+	}
+	if err != nil {
+		return outcome.UnknownFailure{Reason: outcome.AnswerBad}
+	}
+	if f, ok := result.(outcome.NotRunFailure); ok && f.Reason == reasonNotHome {
+		return e.homeAway(ctx, v, home.Host, w)
+	}
+	return result
+}
+
+// homeLost ends a request that the home may have run. A look-up is run once
+// more elsewhere.
+func (e *Entry) homeLost(ctx context.Context, host place.Host, w *work) outcome.Result {
+	e.homes.suspect(host)
+	if ctx.Err() != nil || !w.deadline.After(time.Now()) {
+		return outcome.UnknownFailure{Reason: outcome.AnswerLate}
+	}
+	if !w.idempotent || w.join != "" || w.uncertain != "" || !e.spend() {
+		return outcome.UnknownFailure{Reason: outcome.AnswerCut}
+	}
+	w.uncertain = outcome.AnswerCut
+	return nil
+}
+
+// callHome carries the request over the peer link. Work that may not be
+// broken off goes on at the home when the caller hangs up or the home is
+// suspected.
+func (e *Entry) callHome(ctx context.Context, home place.HostRow, w *work, body []byte) ([]byte, error) {
+	gone := e.homes.use(time.Now(), home)
+	if !w.idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, w.deadline.Add(homeGrace))
+	defer cancel()
+	if w.idempotent && w.join == "" {
+		stop := context.AfterFunc(gone, cancel)
+		defer stop()
+	}
+	return e.cfg.Link.Call(ctx, home.Entry, peer.KindWork, body)
+}
+
+// homeAway passes over a home that did not take the request. With an
+// idempotency key it waits for that home or another list of hosts instead.
+func (e *Entry) homeAway(ctx context.Context, v *view, host place.Host, w *work) outcome.Result {
+	e.homes.suspect(host)
+	if ctx.Err() != nil {
+		return notRun(outcome.CallerGone, retryAfter)
+	}
+	if w.join == "" {
+		return nil
+	}
+	return e.park(ctx, v, w, outcome.Unreachable)
+}
+
+// HandleWork answers a request that another entry host handed over.
+func (e *Entry) HandleWork(ctx context.Context, _ peer.Identity, body []byte) ([]byte, error) {
+	if len(body) == 0 {
+		return nil, nil // a ping
+	}
+	now := time.Now()
+	w, err := decodeWork(now, body)
+	if err != nil {
+		return nil, err
+	}
+	w.request.ID = e.ids.next()
+	if !e.takesOver(w) {
+		return encodeResult(outcome.NotRunFailure{Reason: reasonNotHome}, false)
+	}
+	size := int64(len(w.request.Body))
+	if !e.memory.reserve(size) {
+		return encodeResult(notRun(outcome.Overload, retryAfter), true)
+	}
+	defer e.memory.release(size)
+	result := e.runHere(ctx, w)
+	return encodeResult(result, w.waited)
+}
+
+// takesOver reports whether this host runs a request that was handed to it.
+// One with an idempotency key runs nowhere but at its home.
+func (e *Entry) takesOver(w *work) bool {
+	if e.draining.Load() {
+		return false
+	}
+	if w.join == "" {
+		return true
+	}
+	l := e.laneFor(e.view.Load(), w)
+	if l == nil {
+		return false
+	}
+	_, self := e.home(l, true)
+	return self
+}
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -1,10 +1,10 @@
 package entry
 
 import (
-	"bytes"
 	"container/list"
 	"context"
 	"crypto/sha256"
+	"io"
 	"sync"
 	"time"
 
@@ -29,9 +29,21 @@
 	key    string
 }
 
+// digest tells different requests with the same idempotency key apart.
+type digest [sha256.Size]byte
+
+func digestOf(w *work) digest {
+	h := sha256.New()
+	for _, text := range []string{w.request.Method, "\x00", w.request.URI, "\x00"} {
+		_, _ = io.WriteString(h, text)
+	}
+	_, _ = h.Write(w.request.Body)
+	return digest(h.Sum(nil))
+}
+
 // flight is the one run of all requests with the same joinID.
 type flight struct {
-	digest [sha256.Size]byte
+	digest digest
 	done   chan struct{}
 	result outcome.Result
 	ended  time.Time
@@ -56,12 +68,12 @@
 
 // enter returns the flight of id and whether the caller has to run it. ok is
 // false where the key was used for a different request.
-func (j *joins) enter(now time.Time, id joinID, digest [sha256.Size]byte, cancel context.CancelFunc) (f *flight, first, ok bool) {
+func (j *joins) enter(now time.Time, id joinID, digest digest, cancel context.CancelFunc) (f *flight, first, ok bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.expire(now)
 	if f := j.flights[id]; f != nil {
-		if !bytes.Equal(f.digest[:], digest[:]) {
+		if f.digest != digest {
 			return nil, false, false
 		}
 		f.waiting++
@@ -117,3 +129,41 @@
 		delete(j.flights, id)
 	}
 }
+
+// join runs the request, or waits for the run of the same request that came
+// before.
+func (e *Entry) join(ctx context.Context, w *work) outcome.Result {
+	id := joinID{w.caller, w.route, w.join}
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	f, first, ok := e.joins.enter(time.Now(), id, w.digest, cancel)
+	if !ok {
+		cancel()
+		return outcome.NotRunFailure{Reason: outcome.KeyReused}
+	}
+	if !first {
+		cancel()
+		return e.follow(ctx, w, f)
+	}
+	stop := context.AfterFunc(ctx, func() { e.joins.leave(f) })
+	result := e.serve(runCtx, w)
+	e.joins.end(time.Now(), id, f, result)
+	if stop() {
+		e.joins.leave(f)
+	}
+	return result
+}
+
+// follow waits for another request's run. It may have run already, so a
+// caller whose time is up learns that the outcome is unknown.
+func (e *Entry) follow(ctx context.Context, w *work, f *flight) outcome.Result {
+	defer e.joins.leave(f)
+	timer := time.NewTimer(time.Until(w.deadline))
+	defer timer.Stop()
+	select {
+	case <-f.done:
+		return f.result
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return outcome.UnknownFailure{Reason: outcome.AnswerLate}
+}
--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"citrontray.example/citrontray/internal/forward"
@@ -25,10 +26,14 @@
 	downMost  = time.Second
 	// busyPause is the pause of a lane after a refusal for want of a slot.
 	busyPause = 2 * time.Millisecond
+	// contention is how long after the last wait for a slot requests go to the
+	// target's home.
+	contention = 100 * time.Millisecond
+	// waitMargin is what the estimate of a wait is multiplied by before a
+	// request is taken in, in percent: queues do not run evenly.
+	waitMargin = 130
 	// firstEstimate is the service time assumed before the first answer.
 	firstEstimate = 2 * time.Millisecond
-	// estimateWeight is the weight of the newest service time in the mean.
-	estimateWeight = 0.1
 )
 
 // lane is the work of this entry host for one target: its queue, its free
@@ -40,6 +45,8 @@
 	zone    place.Zone
 	addr    string
 	pool    *forward.Pool
+	// homes are the entry hosts that hold the target's queue, best first.
+	homes atomic.Pointer[[]place.HostRow]
 
 	mu      sync.Mutex
 	queue   *queue.Queue[*work]
@@ -47,29 +54,34 @@
 	since   time.Time
 	warmUp  time.Duration
 	running int
-	// each is the decayed mean of the service time.
-	each time.Duration
+	serving serviceTime
 	// down counts failed connects in a row; until resume nothing is sent.
 	down   int
 	resume time.Time
 	timer  *time.Timer
 	closed bool
+	// contendedUntil is how long requests go to the target's home.
+	contendedUntil time.Time
 }
 
 // event is what a waiting request hears from its lane.
 type event interface{ event() }
 
 // granted: the request holds a slot. moved: its shard has another owner.
-// dropped: it left the queue and did not run.
+// dropped: it left the queue and did not run. contended: there is no free slot
+// for a request that does not queue here.
 type (
 	granted struct{}
 	moved   struct{}
 	dropped struct{ failure outcome.NotRunFailure }
+
+	contended struct{}
 )
 
-func (granted) event() {}
-func (moved) event()   {}
-func (dropped) event() {}
+func (granted) event()   {}
+func (moved) event()     {}
+func (dropped) event()   {}
+func (contended) event() {}
 
 func newLane(e *Entry, zone place.Zone, row *table.Target, cfg *settings.Service) *lane {
 	limit := max(cfg.Connections/max(e.cfg.Hosts, 1), cfg.Slots, 1)
@@ -81,7 +93,7 @@
 		addr:    row.Addr.String(),
 		queue:   queue.New[*work](e.cfg.Queue),
 		limiter: newLimiter(max(cfg.Slots, 1)),
-		each:    firstEstimate,
+		serving: serviceTime{mean: firstEstimate},
 	}
 	l.pool = forward.New(forward.Config{
 		Addr:        row.Addr,
@@ -121,13 +133,17 @@
 		l.running++
 		return granted{}
 	}
-	e := queue.Entry[*work]{Caller: w.caller(), Class: w.class(), Deadline: w.deadline, Value: w}
+	if w.direct {
+		l.contendedUntil = now.Add(contention)
+		return contended{}
+	}
+	e := queue.Entry[*work]{Caller: w.caller, Class: w.class, Deadline: w.deadline, Value: w}
 	if w.returned {
 		w.ticket = l.queue.Return(e)
 		l.schedule(now)
 		return nil
 	}
-	ticket, verdict, out, pushed := l.queue.Push(now, e, l.pace())
+	ticket, verdict, out, pushed := l.queue.Push(now.Add(l.serving.most()), e, l.pace()*waitMargin/100)
 	if verdict != queue.Queued {
 		return dropped{l.overload(verdict)}
 	}
@@ -139,6 +155,20 @@
 	return nil
 }
 
+// free reports whether requests may try the target without its home.
+func (l *lane) free(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.After(l.contendedUntil)
+}
+
+// contend sends requests to the target's home for a while.
+func (l *lane) contend(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.contendedUntil = now.Add(contention)
+}
+
 // overload tells the caller when the queue as it is will be worked off.
 func (l *lane) overload(_ queue.Verdict) outcome.NotRunFailure {
 	wait := time.Duration(l.queue.Len()+1) * l.pace()
@@ -147,7 +177,7 @@
 
 // pace returns the mean time between two requests served.
 func (l *lane) pace() time.Duration {
-	return l.each / time.Duration(max(int(l.limiter.limit), 1))
+	return l.serving.mean / time.Duration(max(int(l.limiter.limit), 1))
 }
 
 func (l *lane) mayStart(now time.Time) bool {
@@ -163,7 +193,9 @@
 // start hands free slots to waiting requests.
 func (l *lane) start(now time.Time) {
 	for l.queue.Len() > 0 && l.mayStart(now) {
-		e, ok := l.queue.Pop(now)
+		// A request that has not the time to be served any more would run
+		// in vain and end as unknown.
+		e, ok := l.queue.Pop(now.Add(l.serving.most()))
 		if !ok {
 			return
 		}
@@ -213,8 +245,7 @@
 	case forward.Refused:
 		l.down = 0
 		if r.Refusal == refusalBusy {
-			l.limiter.lower()
-			l.pause(now, busyPause)
+			l.yield(now)
 		}
 	case forward.NotSent:
 		if !errors.Is(r.Err, context.Canceled) && !errors.Is(r.Err, forward.ErrFull) {
@@ -227,7 +258,16 @@
 func (l *lane) succeed(took time.Duration) {
 	l.down = 0
 	l.limiter.raise()
-	l.each += time.Duration(estimateWeight * float64(took-l.each))
+	l.serving.add(took)
+}
+
+// yield makes way for others that use the target's slots. A home keeps its
+// limit: those that go past it are few.
+func (l *lane) yield(now time.Time) {
+	if l.entry.cfg.Sharing == ShareAdaptive {
+		l.limiter.lower()
+	}
+	l.pause(now, busyPause)
 }
 
 // fail backs off from a target that takes no connection: one request tries
@@ -247,7 +287,7 @@
 func (l *lane) tick(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, w := range l.queue.Expire(now) {
+	for _, w := range l.queue.Expire(now.Add(l.serving.most())) {
 		w.wake <- dropped{outcome.NotRunFailure{Reason: outcome.Deadline, RetryAfter: time.Second}}
 	}
 	l.start(now)
--- a/internal/entry/limit.go
+++ b/internal/entry/limit.go
@@ -65,6 +65,26 @@
 	return min(n, ramp)
 }
 
+// The weights of the newest service time in its decayed mean and deviation,
+// and the deviations above the mean within which most requests are served.
+const (
+	meanWeight      = 0.1
+	deviationWeight = 0.1
+	mostDeviations  = 2
+)
+
+// serviceTime estimates how long a target takes for one request.
+type serviceTime struct{ mean, deviation time.Duration }
+
+func (s *serviceTime) add(took time.Duration) {
+	off := took - s.mean
+	s.mean += time.Duration(meanWeight * float64(off))
+	s.deviation += time.Duration(deviationWeight * float64(off.Abs()-s.deviation))
+}
+
+// most returns the time within which most requests are served.
+func (s *serviceTime) most() time.Duration { return s.mean + mostDeviations*s.deviation }
+
 // callerLimit is one settings.Limit at this entry host.
 type callerLimit struct {
 	rate       *rate.Limiter
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -192,6 +192,8 @@
 	bounds.Bound = d.opts.QueueBound
 	return Config{
 		Board:          board,
+		Host:           d.opts.Host,
+		Sharing:        ShareAdaptive,
 		Link:           d.link,
 		DecodeSettings: settings.Decode,
 		DecodeTable:    table.Decode,
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"context"
-	"crypto/sha256"
 	"errors"
 	"io"
 	"net/http"
@@ -60,14 +58,13 @@
 		return failure
 	}
 	defer e.memory.release(int64(len(w.request.Body)))
-	idempotency, ok := idempotencyKey(r.Header)
-	if !ok {
+	if w.join, ok = idempotencyKey(r.Header); !ok {
 		return outcome.NotRunFailure{Reason: outcome.BadHeader}
 	}
-	if idempotency == "" {
-		return e.serve(r.Context(), w)
+	if w.join != "" {
+		w.digest = digestOf(w)
 	}
-	return e.join(r.Context(), w, idempotency)
+	return e.dispatch(r.Context(), w)
 }
 
 func idempotencyKey(h http.Header) (string, bool) {
@@ -91,7 +88,15 @@
 	if bound <= 0 {
 		bound = defaultBody
 	}
-	w := &work{Match: m, hash: key.HashOf(m.Key), deadline: now.Add(timeout), wake: make(chan event, 1)}
+	w := &work{
+		caller:     m.Caller.Name,
+		class:      m.Route.Class,
+		route:      m.Route.Name,
+		idempotent: m.Route.Idempotent,
+		hash:       key.HashOf(m.Key),
+		deadline:   now.Add(timeout),
+		wake:       make(chan event, 1),
+	}
 	w.request = forward.Request{
 		ID:       e.ids.next(),
 		Method:   r.Method,
@@ -140,51 +145,3 @@
 	}
 	return nil, outcome.NotRunFailure{Reason: outcome.BodyCut}
 }
-
-// join runs the request, or waits for the run of the same request that came
-// before.
-func (e *Entry) join(ctx context.Context, w *work, idempotency string) outcome.Result {
-	id := joinID{w.caller(), w.Route.Name, idempotency}
-	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	f, first, ok := e.joins.enter(time.Now(), id, digest(w), cancel)
-	if !ok {
-		cancel()
-		return outcome.NotRunFailure{Reason: outcome.KeyReused}
-	}
-	if !first {
-		cancel()
-		return e.follow(ctx, w, f)
-	}
-	stop := context.AfterFunc(ctx, func() { e.joins.leave(f) })
-	result := e.serve(runCtx, w)
-	e.joins.end(time.Now(), id, f, result)
-	if stop() {
-		e.joins.leave(f)
-	}
-	return result
-}
-
-// follow waits for another request's run. It may have run already, so a
-// caller whose time is up learns that the outcome is unknown.
-func (e *Entry) follow(ctx context.Context, w *work, f *flight) outcome.Result {
-	defer e.joins.leave(f)
-	timer := time.NewTimer(time.Until(w.deadline))
-	defer timer.Stop()
-	select {
-	case <-f.done:
-		return f.result
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return outcome.UnknownFailure{Reason: outcome.AnswerLate}
-}
-
-// digest tells different requests with the same idempotency key apart.
-func digest(w *work) [sha256.Size]byte {
-	h := sha256.New()
-	for _, text := range []string{w.request.Method, "\x00", w.request.URI, "\x00", w.Key, "\x00"} {
-		_, _ = io.WriteString(h, text)
-	}
-	_, _ = h.Write(w.request.Body)
-	return [sha256.Size]byte(h.Sum(nil))
-}
--- /dev/null
+++ b/internal/entry/slots_bench_test.go
@@ -0,0 +1,293 @@
+package entry_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/entry"
+	"citrontray.example/citrontray/internal/grant"
+	"citrontray.example/citrontray/internal/journal"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/keys"
+	"citrontray.example/citrontray/internal/metric"
+	"citrontray.example/citrontray/internal/outcome"
+	"citrontray.example/citrontray/internal/peer"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/platform"
+	"citrontray.example/citrontray/internal/queue"
+	"citrontray.example/citrontray/internal/settings"
+	"citrontray.example/citrontray/internal/spread"
+	"citrontray.example/citrontray/internal/standin"
+	"citrontray.example/citrontray/internal/table"
+	"citrontray.example/citrontray/internal/target"
+)
+
+var (
+	benchTime  = flag.Duration("slots.time", 4*time.Second, "length of one point")
+	benchHosts = flag.Int("slots.hosts", 9, "entry hosts")
+	benchWork  = flag.Duration("slots.work", 5*time.Millisecond, "service time")
+)
+
+const (
+	benchTargets = 4
+	benchSlots   = 3
+	benchShards  = 64
+	benchTimeout = 500 * time.Millisecond
+	shareEvery   = 50 * time.Millisecond
+)
+
+// way is one way of sharing the slots of a target between entry hosts.
+type way struct {
+	sharing entry.Sharing
+	shares  bool
+}
+
+// BenchmarkSlots measures the three ways at four loads, in one run.
+func BenchmarkSlots(b *testing.B) {
+	ways := []struct {
+		name string
+		way
+	}{
+		{"adaptive", way{entry.ShareAdaptive, false}},
+		{"shares", way{entry.ShareAdaptive, true}},
+		{"home", way{entry.ShareHome, false}},
+		{"mixed", way{entry.ShareMixed, false}},
+	}
+	for _, load := range []int{50, 80, 95, 100, 150} {
+		for _, w := range ways {
+			b.Run(fmt.Sprintf("%s/%d", w.name, load), func(b *testing.B) {
+				c := newCluster(b, *benchHosts, w.way)
+				capacity := benchTargets * benchSlots / benchWork.Seconds()
+				for range b.N {
+					c.offer(b, capacity*float64(load)/100)
+				}
+			})
+		}
+	}
+}
+
+// cluster is some entry hosts with real sockets between them, and targets.
+type cluster struct {
+	farm    *standin.Farm
+	entries []*entry.Entry
+	servers []*httptest.Server
+	links   []*peer.Peer
+	client  *http.Client
+}
+
+func newCluster(b testing.TB, hosts int, w way) *cluster {
+	c := &cluster{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2000}}}
+	c.farm = standin.NewFarm([]standin.Group{{Count: benchTargets, TargetConfig: standin.TargetConfig{
+		Service: balance, Slots: benchSlots, Connections: 130, Work: *benchWork, Connect: time.Millisecond,
+	}}}, []place.Zone{"zone-a"})
+	assert.NilError(b, c.farm.Start())
+	b.Cleanup(func() { c.farm.Stop(context.Background()) })
+	dir := b.TempDir()
+	now := time.Now()
+	assert.NilError(b, keys.MakeAuthority(now, dir))
+	links := make([]*peer.Peer, hosts)
+	fleet := platform.Fleet{}
+	for i := range hosts {
+		links[i] = newLink(b, dir, hostName(i))
+		fleet.Hosts = append(fleet.Hosts, place.HostRow{Host: hostName(i), Zone: "zone-a", Entry: links[i].Addr()})
+	}
+	c.links = links
+	list, err := spread.EncodeFleet(fleet)
+	assert.NilError(b, err)
+	rows := c.grant(b)
+	for i := range hosts {
+		c.startEntry(b, hostName(i), links[i], w, list, rows)
+	}
+	if w.shares {
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			c.loopShares(ctx)
+		}()
+		b.Cleanup(func() { cancel(); <-done })
+	}
+	return c
+}
+
+func hostName(i int) place.Host { return place.Host(fmt.Sprintf("host-%d", i)) }
+
+func newLink(b testing.TB, dir string, host place.Host) *peer.Peer {
+	now := time.Now()
+	loopback := netip.AddrFrom4([4]byte{127, 0, 0, 1})
+	assert.NilError(b, keys.MakeHost(now, dir, host, "zone-a", []peer.Role{peer.RoleEntry}, []netip.Addr{loopback}))
+	material, err := keys.Load(now, dir, host, peer.RoleEntry)
+	assert.NilError(b, err)
+	link, err := peer.New(peer.Config{Listen: netip.AddrPortFrom(loopback, 0), Keys: material, Log: journal.Nop()})
+	assert.NilError(b, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = link.Run(ctx)
+	}()
+	b.Cleanup(func() { cancel(); <-done; _ = link.Close() })
+	return link
+}
+
+// grant gives the shards to the targets in turn.
+func (c *cluster) grant(b testing.TB) []table.Row {
+	control := target.NewControl(time.Second)
+	defer control.Close()
+	rows := make([]table.Row, 0, benchShards)
+	items := make([][]grant.Item, benchTargets)
+	for shard := range key.Shard(benchShards) {
+		owner := shard % benchTargets
+		rows = append(rows, table.Row{Shard: shard, Epoch: 1, Owner: table.Index(owner)})
+		items[owner] = append(items[owner], grant.Item{Shard: shard, Epoch: 1, Kind: grant.Grant})
+	}
+	for i, t := range c.farm.Targets() {
+		o := grant.Order{Service: balance, Zone: "zone-a", Term: 1, Duration: time.Hour}
+		a, err := control.Order(context.Background(), t.Addr(), o)
+		assert.NilError(b, err)
+		o.Incarnation, o.Anchor, o.Items = a.Incarnation, a.Clock, items[i]
+		_, err = control.Order(context.Background(), t.Addr(), o)
+		assert.NilError(b, err)
+	}
+	return rows
+}
+
+func (c *cluster) startEntry(b testing.TB, host place.Host, link peer.Link, w way, list []byte, rows []table.Row) {
+	bd := newBoard()
+	s := someSettings()
+	s.Services = []settings.Service{{Name: balance, Shards: benchShards, Slots: benchSlots, Connections: 130, BodyBytes: bodySize}}
+	s.Routes[0].Timeout = benchTimeout
+	bd.putSettings(s)
+	bd.Publish(spread.Document{Name: spread.Fleet, Version: spread.Version{Major: 1}, Body: list})
+	t := &table.Table{Service: balance, Zone: "zone-a", Shards: benchShards, Rows: rows}
+	for _, one := range c.farm.Targets() {
+		t.Targets = append(t.Targets, table.Target{Target: one.Name(), Addr: one.Addr()})
+	}
+	bd.putTable(t)
+	e := entry.New(entry.Config{
+		Board: bd, DecodeSettings: bd.decodeSettings, DecodeTable: bd.decodeTable, Log: journal.Nop(),
+		Registry: metric.New("test"), Host: host, Link: link, Sharing: w.sharing, Hosts: *benchHosts,
+		Queue: queue.DefaultConfig(), Park: time.Second, Parked: 1000, Memory: 16 << 20, Tick: entry.DefaultTick,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = e.Run(ctx)
+	}()
+	server := httptest.NewServer(e)
+	c.entries, c.servers = append(c.entries, e), append(c.servers, server)
+	b.Cleanup(func() {
+		server.Close()
+		cancel()
+		<-done
+		e.Close()
+	})
+}
+
+// loopShares deals the slots of each target out to the entry hosts with the
+// most demand, as a lead would.
+func (c *cluster) loopShares(ctx context.Context) {
+	turn := 0
+	for ctx.Err() == nil {
+		demand := make([]map[place.Target]int, len(c.entries))
+		for i, e := range c.entries {
+			demand[i] = e.Demand()
+		}
+		turn++
+		for _, t := range c.farm.Targets() {
+			share := make([]int, len(c.entries))
+			for range benchSlots {
+				best := -1
+				for n := range c.entries {
+					i := (n + turn) % len(c.entries)
+					if best < 0 || demand[i][t.Name()]-share[i] > demand[best][t.Name()]-share[best] {
+						best = i
+					}
+				}
+				share[best]++
+			}
+			for i, e := range c.entries {
+				e.ShareSlots(t.Name(), share[i])
+			}
+		}
+		time.Sleep(shareEvery)
+	}
+}
+
+// offer sends requests at a rate, whatever comes back, and reports.
+func (c *cluster) offer(b *testing.B, rate float64) {
+	latency := hdrhistogram.New(1, 10_000_000, 3)
+	ends := map[outcome.Outcome]int{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	before, cpu := c.farm.Ledger.Counts(), cpuTime()
+	r := rand.New(rand.NewPCG(1, 2))
+	start := time.Now()
+	next := start
+	sent := 0
+	for time.Since(start) < *benchTime {
+		next = next.Add(time.Duration(r.ExpFloat64() / rate * float64(time.Second)))
+		time.Sleep(time.Until(next))
+		url := fmt.Sprintf("%s/balance/k%d", c.servers[r.IntN(len(c.servers))].URL, r.IntN(100_000))
+		sent++
+		wg.Go(func() {
+			at := next
+			end := c.get(url)
+			took := time.Since(at)
+			mu.Lock()
+			defer mu.Unlock()
+			ends[end]++
+			if end == outcome.Done {
+				_ = latency.RecordValue(took.Microseconds())
+			}
+		})
+	}
+	wg.Wait()
+	after := c.farm.Ledger.Counts()
+	b.ReportMetric(float64(latency.ValueAtQuantile(50))/1000, "p50_ms")
+	b.ReportMetric(float64(latency.ValueAtQuantile(99))/1000, "p99_ms")
+	b.ReportMetric(float64(ends[outcome.Done])/benchTime.Seconds(), "done_s")
+	b.ReportMetric(float64(ends[outcome.NotRun])/float64(sent)*100, "notrun_%")
+	b.ReportMetric(float64(ends[outcome.Unknown]), "unknown")
+	b.ReportMetric(float64(after.Sheds-before.Sheds)/float64(sent), "busy/req")
+	b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/float64(sent), "cpu_us/req")
+}
+
+func (c *cluster) get(url string) outcome.Outcome {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return "error"
+	}
+	req.Header.Set("Authorization", "Bearer "+clerk)
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return "error"
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return outcome.Outcome(resp.Header.Get(outcome.Header))
+}
+
+// cpuTime is the processor time of the whole process, callers and targets
+// included.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -62,6 +62,6 @@
 	return wireTarget{
 		Service: string(l.service), Target: string(l.target),
 		Waiting: l.queue.Len(), Running: l.running, Limit: l.limiter.limit,
-		Connections: l.pool.Open(), Failures: l.down, ServiceMS: float64(l.each.Microseconds()) / 1000,
+		Connections: l.pool.Open(), Failures: l.down, ServiceMS: float64(l.serving.mean.Microseconds()) / 1000,
 	}
 }
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -20,6 +20,7 @@
 	routes   *route.Table
 	services map[key.Service]*service
 	tables   []*table.Table
+	hosts    []place.HostRow
 	// replaced is closed once a newer view is in force.
 	replaced chan struct{}
 }
@@ -68,6 +69,7 @@
 		return
 	}
 	v.tables = e.readTables()
+	v.hosts = e.fleetHosts()
 	for _, t := range v.tables {
 		e.mergeTable(v, t, now)
 	}
@@ -141,6 +143,8 @@
 	lanes := make([]*lane, len(t.Targets))
 	for i := range t.Targets {
 		lanes[i] = e.laneOf(t, &t.Targets[i], cfg, now)
+		homes := rankHomes(v.hosts, t.Zone, t.Targets[i].Target)
+		lanes[i].homes.Store(&homes)
 	}
 	for _, row := range t.Rows {
 		s.add(row, lanes)
--- /dev/null
+++ b/internal/entry/wire.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"citrontray.example/citrontray/internal/forward"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/outcome"
+	"citrontray.example/citrontray/internal/settings"
+)
+
+// reasonNotHome is the answer of an entry host that does not run a request
+// that was handed to it. Callers never see it.
+const reasonNotHome outcome.Reason = "not-home"
+
+// errMalformed is returned for a message that can't be read.
+var errMalformed = errors.New("entry: malformed message")
+
+// Messages between entry hosts.
+type (
+	wireWork struct {
+		_          struct{} `cbor:",toarray"`
+		Caller     string
+		Class      string
+		Route      string
+		Idempotent bool
+		Join       string
+		Digest     []byte
+		Service    string
+		Hash       uint64
+		LeftUS     uint64
+		MaxBody    int64
+		Method     string
+		URI        string
+		Header     http.Header
+		Body       []byte
+	}
+	wireResult struct {
+		_       struct{} `cbor:",toarray"`
+		Outcome string
+		Reason  string
+		RetryMS uint32
+		Status  int
+		Header  http.Header
+		Body    []byte
+		// Waited tells that the request waited for a slot.
+		Waited bool
+	}
+)
+
+// maxLeft bounds the time that a request brings along.
+const maxLeft = 10 * time.Minute
+
+// maxStatus is the highest status of an answer.
+const maxStatus = 599
+
+func encodeWork(now time.Time, w *work) ([]byte, error) {
+	r := &w.request
+	return cbor.Marshal(&wireWork{
+		Caller: string(w.caller), Class: string(w.class), Route: w.route,
+		Idempotent: w.idempotent, Join: w.join, Digest: w.digest[:],
+		Service: string(r.Service), Hash: uint64(w.hash),
+		LeftUS: uint64(max(w.deadline.Sub(now), 0).Microseconds()), MaxBody: r.MaxBody,
+		Method: r.Method, URI: r.URI, Header: r.Header, Body: r.Body,
+	})
+}
+
+func decodeWork(now time.Time, body []byte) (*work, error) {
+	var m wireWork
+	if err := cbor.Unmarshal(body, &m); err != nil {
+		return nil, fmt.Errorf("%w: %w", errMalformed, err)
+	}
+	if len(m.Digest) != len(digest{}) || m.MaxBody < 0 || m.LeftUS > uint64(maxLeft.Microseconds()) {
+		return nil, errMalformed
+	}
+	w := &work{
+		caller: settings.Caller(m.Caller), class: settings.Class(m.Class), route: m.Route,
+		idempotent: m.Idempotent, join: m.Join, digest: digest(m.Digest),
+		hash: key.Hash(m.Hash), wake: make(chan event, 1),
+		deadline: now.Add(time.Duration(m.LeftUS) * time.Microsecond),
+	}
+	w.request = forward.Request{
+		Method: m.Method, URI: m.URI, Header: forward.Forwardable(m.Header), Body: m.Body,
+		Service: key.Service(m.Service), Deadline: w.deadline, MaxBody: m.MaxBody,
+	}
+	return w, nil
+}
+
+func encodeResult(result outcome.Result, waited bool) ([]byte, error) {
+	m := wireResult{Outcome: string(outcome.Of(result)), Reason: string(outcome.ReasonOf(result)), Waited: waited}
+	switch r := result.(type) {
+	case outcome.Answer:
+		m.Status, m.Header, m.Body = r.Status, r.Header, r.Body
+	case outcome.NotRunFailure:
+		m.RetryMS = uint32(r.RetryAfter.Milliseconds())
+	}
+	return cbor.Marshal(&m)
+}
+
+func decodeResult(body []byte) (result outcome.Result, waited bool, err error) {
+	var m wireResult
+	if err := cbor.Unmarshal(body, &m); err != nil {
+		return nil, false, fmt.Errorf("%w: %w", errMalformed, err)
+	}
+	switch outcome.Outcome(m.Outcome) {
+	case outcome.Done:
+		if m.Status < http.StatusOK || m.Status > maxStatus {
+			return nil, false, errMalformed
+		}
+		result = outcome.Answer{Status: m.Status, Header: forward.Forwardable(m.Header), Body: m.Body}
+	case outcome.NotRun:
+		result = outcome.NotRunFailure{
+			Reason:     outcome.Reason(m.Reason),
+			RetryAfter: time.Duration(m.RetryMS) * time.Millisecond,
+		}
+	case outcome.Unknown:
+		result = outcome.UnknownFailure{Reason: outcome.Reason(m.Reason)}
+	default:
+		return nil, false, errMalformed
+	}
+	return result, m.Waited, nil
+}
--- /dev/null
+++ b/internal/entry/wire_test.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/forward"
+	"citrontray.example/citrontray/internal/outcome"
+)
+
+func TestWorkWire(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := &work{
+		caller: "clerk", class: "bulk", route: "plan", idempotent: true, hash: 7, join: "key",
+		digest: digest{1, 2}, deadline: now.Add(time.Second),
+	}
+	w.request = forward.Request{
+		Method: "POST", URI: "/plan/k", Header: http.Header{"Accept": {"x"}}, Body: []byte("body"),
+		Service: "plan", MaxBody: 5, Deadline: w.deadline,
+	}
+	body, err := encodeWork(now, w)
+	assert.NilError(t, err)
+	got, err := decodeWork(now, body)
+	assert.NilError(t, err)
+	got.wake = nil
+	assert.DeepEqual(t, got.request, w.request)
+	assert.Equal(t, got.digest, w.digest)
+	assert.Equal(t, got.join, w.join)
+	assert.Assert(t, got.deadline.Equal(w.deadline))
+}
+
+func TestResultWire(t *testing.T) {
+	tests := map[string]outcome.Result{
+		"answer":  outcome.Answer{Status: 201, Header: http.Header{"Accept": {"x"}}, Body: []byte("body")},
+		"not run": outcome.NotRunFailure{Reason: outcome.Overload, RetryAfter: 2 * time.Second},
+		"unknown": outcome.UnknownFailure{Reason: outcome.AnswerCut},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			body, err := encodeResult(test, true)
+			assert.NilError(t, err)
+			got, waited, err := decodeResult(body)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, got, test)
+			assert.Assert(t, waited)
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	body, _ := encodeWork(time.Unix(1000, 0), &work{deadline: time.Unix(1001, 0)})
+	f.Add(body)
+	body, _ = encodeResult(outcome.Answer{Status: 200, Body: []byte("x")}, false)
+	f.Add(body)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		if w, err := decodeWork(time.Unix(1000, 0), body); err == nil && w.deadline.After(time.Unix(1000, 0).Add(maxLeft)) {
+			t.Fatal("deadline past its bound")
+		}
+		if r, _, err := decodeResult(body); err == nil && r == nil {
+			t.Fatal("no result")
+		}
+	})
+}
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -10,7 +10,6 @@
 	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/outcome"
 	"citrontray.example/citrontray/internal/queue"
-	"citrontray.example/citrontray/internal/route"
 	"citrontray.example/citrontray/internal/settings"
 	"citrontray.example/citrontray/internal/target"
 )
@@ -30,15 +29,24 @@
 
 // work is one request on its way to the owner of its key.
 type work struct {
-	route.Match
-
-	request  forward.Request
-	hash     key.Hash
-	deadline time.Time
+	caller     settings.Caller
+	class      settings.Class
+	route      string
+	idempotent bool
+	request    forward.Request
+	hash       key.Hash
+	deadline   time.Time
+	// join is the idempotency key, or empty; digest tells requests apart
+	// that misuse the same one.
+	join   string
+	digest digest
 	// parkUntil bounds the waiting for an owner.
 	parkUntil time.Time
 	wake      chan event
 	ticket    queue.Ticket
+	// direct tells that the request goes to its home where the target has no
+	// free slot; waited that it waited for one.
+	direct, waited bool
 	// returned tells that the request held a slot before and did not run.
 	returned bool
 	// uncertain is the reason of an uncertain try, after which the request
@@ -50,9 +58,6 @@
 	parks     int
 }
 
-func (w *work) caller() settings.Caller { return w.Caller.Name }
-func (w *work) class() settings.Class   { return w.Route.Class }
-
 // step is what to do after one try.
 type step interface{ step() }
 
@@ -97,7 +102,7 @@
 
 // try sends the request to the owner that the view names.
 func (e *Entry) try(ctx context.Context, v *view, w *work) step {
-	s := v.services[w.Service.Name]
+	s := v.services[w.request.Service]
 	if s == nil {
 		return park{outcome.NoOwner}
 	}
@@ -108,6 +113,8 @@
 	switch sig := e.await(ctx, o.lane, w).(type) {
 	case moved:
 		return again{}
+	case contended:
+		return finish{nil}
 	case dropped:
 		return finish{sig.failure}
 	}
@@ -121,7 +128,7 @@
 
 // stale reports whether the owner changed while the request waited.
 func (e *Entry) stale(w *work, o owner) bool {
-	s := e.view.Load().services[w.Service.Name]
+	s := e.view.Load().services[w.request.Service]
 	if s == nil {
 		return true
 	}
@@ -139,6 +146,7 @@
 	if sig := l.enter(now, w); sig != nil {
 		return sig
 	}
+	w.waited = true
 	select {
 	case sig := <-w.wake:
 		return sig
@@ -172,7 +180,7 @@
 // sendContext lets a caller that hung up cancel a look-up that runs. Other
 // work runs to its end: breaking it off would leave its outcome unknown.
 func (w *work) sendContext(ctx context.Context) context.Context {
-	if w.Route.Idempotent {
+	if w.idempotent {
 		return ctx
 	}
 	return context.WithoutCancel(ctx)
@@ -188,7 +196,7 @@
 	case forward.NotSent:
 		return e.judgeNotSent(ctx, w, r.Err)
 	case forward.Uncertain:
-		if w.Route.Idempotent && w.uncertain == "" && ctx.Err() == nil && r.Reason != outcome.AnswerLate && e.spend() {
+		if w.idempotent && w.uncertain == "" && ctx.Err() == nil && r.Reason != outcome.AnswerLate && e.spend() {
 			w.uncertain, w.returned = r.Reason, true
 			return again{}
 		}
@@ -202,6 +210,10 @@
 	w.returned = true
 	switch refusal {
 	case target.RefusalBusy:
+		if w.direct {
+			o.lane.contend(time.Now())
+			return finish{nil}
+		}
 		return again{}
 	case target.RefusalDeadline:
 		return finish{notRun(outcome.Deadline, retryAfter)}
