Runs end with a quiet time and must heal; declarations count from when seen

The runs now hold up to six hosts and five targets, a lying list, declarations, cuts of single hosts from the store, and 30 quiet seconds after which every shard in custody must be served and no removed host be left over.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -79,6 +79,7 @@
 	custody     CustodySeen
 	custodySeen bool
 	lost        []Lost
+	lostSince   map[place.Host]time.Time
 	drains      []place.Target
 	plan        []PlannedMove
 	planStarts  []time.Time
@@ -183,7 +184,7 @@
 	case PlanSeen:
 		c.takePlan(ev)
 	case LostSeen:
-		c.lost = ev.Lost
+		c.takeLost(ev.Lost)
 	case DrainSeen:
 		c.drains = ev.Targets
 	case ConfigSeen:
--- a/internal/cell/fault_test.go
+++ b/internal/cell/fault_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"citrontray.example/citrontray/internal/key"
@@ -16,6 +17,9 @@
 	}
 	var next func()
 	next = func() {
+		if w.calm {
+			return
+		}
 		w.fault()
 		w.after(faultEvery, next)
 	}
@@ -31,9 +35,13 @@
 	if w.chance(0.02 * w.faultRate) {
 		w.loseTarget()
 	}
+	w.sample()
 	if w.chance(0.02 * w.faultRate) {
 		w.cut()
 	}
+	if w.chance(0.03 * w.linkRate) {
+		w.cutFromStore()
+	}
 	if w.chance(0.012 * w.storeRate) {
 		w.up = !w.up
 		w.tracef("store up %v", w.up)
@@ -45,9 +53,15 @@
 	if w.chance(0.03) {
 		w.plan()
 	}
-	if w.chance(0.01) {
+	if w.chance(0.02) {
 		w.moveCustody()
 	}
+	if w.chance(0.01) {
+		w.list()
+	}
+	if w.chance(0.002 * w.faultRate) {
+		w.declare()
+	}
 	if w.chance(0.005) {
 		w.drainOne()
 	}
@@ -180,6 +194,110 @@
 	w.tracef("split %v until %v", side, until)
 }
 
+// cutFromStore cuts one host from the store, or ends all such cuts.
+func (w *world) cutFromStore() {
+	if w.chance(0.3) {
+		for _, h := range w.hosts {
+			delete(w.cuts, pair(h.name, storeName))
+		}
+		return
+	}
+	h := w.hosts[w.r.IntN(len(w.hosts))]
+	w.cuts[pair(h.name, storeName)] = w.now + w.span(20, 60, 150)
+	w.tracef("%s is cut from the store", h.name)
+}
+
+// list changes what the platform's list says, which need not be true.
+func (w *world) list() {
+	names := w.names()[1:]
+	name := names[w.r.IntN(len(names))]
+	w.unlisted[name] = !w.unlisted[name]
+	w.leaving = nil
+	if w.chance(0.3) {
+		w.leaving = []place.Target{place.Target(w.targets[w.r.IntN(len(w.targets))].name)}
+	}
+	w.tracef("unlisted %v, leaving %v", w.unlisted, w.leaving)
+	w.tellAll()
+}
+
+// declare declares a host or target lost while it is down. It comes back some
+// time after the declaration was undone, as the operators' page asks for.
+func (w *world) declare() {
+	const undo, back = 8 * time.Second, 14 * time.Second
+	w.stats.declared++
+	l := Lost{By: "operator", Reason: "fire"}
+	if w.chance(0.5) {
+		h := w.hosts[w.r.IntN(len(w.hosts))]
+		w.crashHost(h, back)
+		l.Host = place.Host(h.name)
+	} else {
+		t := w.targets[w.r.IntN(len(w.targets))]
+		w.crashTarget(t, back)
+		l.Target = place.Target(t.name)
+	}
+	w.tracef("declared lost: %+v", l)
+	w.lost = append(w.lost, l)
+	w.tellAll()
+	w.after(undo, func() {
+		w.lost = slices.DeleteFunc(w.lost, func(o Lost) bool { return o == l })
+		w.tellAll()
+	})
+}
+
+// healTime is the quiet time at the end of a run.
+const healTime = 30 * time.Second
+
+// heal ends all faults. Pauses and crashes that have begun run out.
+func (w *world) heal() {
+	w.tracef("all faults end")
+	w.calm, w.up, w.slow = true, true, false
+	clear(w.cuts)
+	clear(w.unlisted)
+	w.drains, w.leaving, w.lost = nil, nil, nil
+	w.tellAll()
+}
+
+// checkHealed reports shards in custody that the quiet time did not bring back.
+func (w *world) checkHealed() {
+	if w.failure != "" || w.unhealed {
+		return
+	}
+	held := w.served()
+	for _, r := range w.custody.Shards {
+		if !held[r.Shard] {
+			w.fail("shard %d is not served after %v without faults: %v", r.Shard, healTime, w.doc.Rows)
+		}
+	}
+	if len(w.doc.Removed) > 0 {
+		w.fail("removed hosts are not forgotten: %v", w.doc.Removed)
+	}
+}
+
+// sample counts which shards in custody are held by a target that runs.
+func (w *world) sample() {
+	held := w.served()
+	for _, r := range w.custody.Shards {
+		w.stats.samples++
+		if held[r.Shard] {
+			w.stats.served++
+		}
+	}
+}
+
+// served returns the shards that are held by a target that runs.
+func (w *world) served() map[key.Shard]bool {
+	held := make(map[key.Shard]bool)
+	for _, t := range w.targets {
+		if t.dead || w.now < t.paused {
+			continue
+		}
+		for _, h := range t.holds.Each(t.reading(w.now)) {
+			held[h.Shard] = true
+		}
+	}
+	return held
+}
+
 // plan asks every host for a move or a cut, as placement would.
 func (w *world) plan() {
 	move := PlannedMove{
@@ -201,7 +319,7 @@
 func (w *world) moveCustody() {
 	shard := key.Shard(w.r.IntN(int(worldShards)))
 	if floor, away := w.outside[shard]; away {
-		if w.r.IntN(2) == 0 {
+		if w.chance(0.8) {
 			w.tracef("shard %d comes back", shard)
 			delete(w.outside, shard)
 			w.changeCustody(shard, floor+1, true)
--- a/internal/cell/membership.go
+++ b/internal/cell/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"citrontray.example/citrontray/internal/place"
 )
@@ -54,13 +55,16 @@
 	}
 	for i := range c.mates {
 		m := &c.mates[i]
-		if !m.member && len(roster) < maxRoster && c.good(m) && m.revision == c.revision {
+		if !m.member && len(roster) < maxRoster && c.good(m) && m.revision == c.revision && c.wanted(m.host) {
 			roster = append(roster, m.host)
 		}
 	}
 	return roster, removed
 }
 
+// wanted reports whether the host belongs on the roster.
+func (c *Cell) wanted(h place.Host) bool { return slices.Contains(c.wantedRoster(), h) }
+
 func (c *Cell) staysOnRoster(h place.Host) bool {
 	if h == c.cfg.Self {
 		return true
@@ -76,6 +80,22 @@
 	return i < 0 || c.fleet.Hosts[i].State != place.Leaving
 }
 
+// takeLost records the operators' declarations. What a lost host granted until
+// then still has to lapse.
+func (c *Cell) takeLost(lost []Lost) {
+	since := make(map[place.Host]time.Time)
+	for _, l := range lost {
+		if l.Host == "" {
+			continue
+		}
+		since[l.Host] = c.now
+		if at, known := c.lostSince[l.Host]; known {
+			since[l.Host] = at
+		}
+	}
+	c.lost, c.lostSince = slices.Clone(lost), since
+}
+
 // adoptRoster takes up a roster that this lead wrote: promises to the term
 // before count no more.
 func (c *Cell) adoptRoster() {
--- a/internal/cell/network_test.go
+++ b/internal/cell/network_test.go
@@ -116,6 +116,9 @@
 	if next.Term > w.doc.Term {
 		w.stats.terms++
 	}
+	if !slices.Equal(next.Roster, w.doc.Roster) {
+		w.stats.rosters++
+	}
 	for _, r := range next.Rows {
 		if i := w.doc.rowOf(r.Shard); i >= 0 && w.doc.Rows[i].Owner != r.Owner {
 			w.stats.moves++
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -57,7 +57,8 @@
 	m.intents = nil
 }
 
-// alignMates lists the roster and the hosts that should join it.
+// alignMates lists the roster, the hosts that should join it, and those that
+// left it and have not heard so.
 func (c *Cell) alignMates() {
 	old := c.mates
 	c.mates = nil
@@ -69,6 +70,11 @@
 			c.addMate(old, h, false)
 		}
 	}
+	for _, r := range c.doc.Removed {
+		if c.mate(r.Host) == nil {
+			c.addMate(old, r.Host, false)
+		}
+	}
 }
 
 func (c *Cell) addMate(old []mate, host place.Host, member bool) {
@@ -288,6 +294,9 @@
 				from = latest(from, m.since)
 			}
 		}
+		for _, since := range c.lostSince {
+			from = latest(from, since)
+		}
 	}
 	return from.Add(c.longer(c.cfg.Timing.Grant))
 }
--- a/internal/cell/run_test.go
+++ b/internal/cell/run_test.go
@@ -18,8 +18,8 @@
 func optionsOf(seed uint64) options {
 	r := rand.New(rand.NewPCG(seed, 3))
 	o := options{
-		seed: seed, hosts: 1 + r.IntN(4), targets: 3 + r.IntN(2),
-		unfenced: r.IntN(5) == 0, faultRate: 0.3 + 2*r.Float64(), storeRate: 2 * r.Float64(),
+		seed: seed, hosts: 1 + r.IntN(6), targets: 3 + r.IntN(3), unfenced: r.IntN(5) == 0,
+		faultRate: 0.2 + 1.5*r.Float64(), storeRate: 1.5 * r.Float64(), linkRate: r.Float64(),
 	}
 	if r.IntN(6) == 0 {
 		o.hold = 5 * time.Second
@@ -48,13 +48,7 @@
 	if failure != "" {
 		r.failed = append(r.failed, fmt.Sprintf("seed %d: %s", seed, failure))
 	}
-	r.total.moves += s.moves
-	r.total.terms += s.terms
-	r.total.activated += s.activated
-	r.total.deputies += s.deputies
-	r.total.cuts += s.cuts
-	r.total.given += s.given
-	r.total.unknown += s.unknown
+	r.total.add(s)
 }
 
 // runMany plays the seeds from first on, three at a time.
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -87,14 +87,16 @@
 
 // options shapes a run.
 type options struct {
-	seed                 uint64
-	hosts, targets       int
-	knobs                knobs
-	noAnchor             bool
-	unfenced, calm       bool
-	hold                 time.Duration
-	length               time.Duration
-	faultRate, storeRate float64
+	seed                     uint64
+	hosts, targets           int
+	knobs                    knobs
+	noAnchor                 bool
+	unfenced, calm, unhealed bool
+	hold                     time.Duration
+	length                   time.Duration
+	// faultRate is for hosts, targets and links, storeRate for the store,
+	// linkRate for single links to the store.
+	faultRate, storeRate, linkRate float64
 }
 
 // world is one run: hosts, targets and a store on a network that loses,
@@ -123,6 +125,8 @@
 	solos    map[key.Hash]Solo
 	rejoined map[key.Hash]grant.Epoch
 	drains   []place.Target
+	leaving  []place.Target
+	unlisted map[string]bool
 	lost     []Lost
 	versions map[place.Host]table.Version
 
@@ -131,7 +135,26 @@
 	stats   stats
 }
 
-type stats struct{ moves, terms, activated, deputies, cuts, given, unknown int }
+// stats counts what happened in a run, to tell whether it reached anything.
+// Served and samples count shards in custody, ten times a second.
+type stats struct {
+	moves, terms, activated, deputies, cuts, given, unknown, declared, rosters int
+	served, samples                                                            int
+}
+
+func (s *stats) add(o stats) {
+	s.moves += o.moves
+	s.terms += o.terms
+	s.activated += o.activated
+	s.deputies += o.deputies
+	s.cuts += o.cuts
+	s.given += o.given
+	s.unknown += o.unknown
+	s.declared += o.declared
+	s.rosters += o.rosters
+	s.served += o.served
+	s.samples += o.samples
+}
 
 func newWorld(o options) *world {
 	if o.length == 0 {
@@ -141,7 +164,7 @@
 		options: o, r: rand.New(rand.NewPCG(o.seed, 7)), up: true,
 		cuts: make(map[[2]string]time.Duration), outside: make(map[key.Shard]grant.Epoch),
 		solos: make(map[key.Hash]Solo), rejoined: make(map[key.Hash]grant.Epoch),
-		versions: make(map[place.Host]table.Version),
+		versions: make(map[place.Host]table.Version), unlisted: make(map[string]bool),
 	}
 	w.storeClock = w.newClock()
 	w.custody = CustodySeen{Revision: 1}
@@ -190,6 +213,7 @@
 func (w *world) startHost(h *hostNode) {
 	h.life++
 	h.dead = false
+	h.paused = 0
 	h.waiting = nil
 	h.cell = New(w.config(h))
 	h.cell.knobs = w.knobs
@@ -211,6 +235,7 @@
 func (w *world) startTarget(t *targetNode) {
 	t.life++
 	t.dead = false
+	t.paused = 0
 	t.waiting = nil
 	t.born = w.now
 	t.holds = target.NewHoldings(target.HoldingsConfig{
@@ -236,12 +261,20 @@
 func (w *world) fleet() FleetSeen {
 	var f FleetSeen
 	for _, h := range w.hosts {
-		f.Hosts = append(f.Hosts, place.HostRow{Host: place.Host(h.name), Zone: worldZone})
+		if !w.unlisted[h.name] {
+			f.Hosts = append(f.Hosts, place.HostRow{Host: place.Host(h.name), Zone: worldZone})
+		}
 	}
 	for _, t := range w.targets {
-		f.Targets = append(f.Targets, place.TargetRow{
+		row := place.TargetRow{
 			Target: place.Target(t.name), Service: string(worldService), Zone: worldZone, Addr: t.addr,
-		})
+		}
+		if slices.Contains(w.leaving, row.Target) {
+			row.State = place.Leaving
+		}
+		if !w.unlisted[t.name] {
+			f.Targets = append(f.Targets, row)
+		}
 	}
 	return f
 }
@@ -352,6 +385,7 @@
 // run plays the world until its end or the first failure.
 func (w *world) run() string {
 	w.scheduleFaults()
+	w.after(max(w.length-healTime, 0), w.heal)
 	for len(w.queue) > 0 && w.failure == "" {
 		s := heap.Pop(&w.queue).(step)
 		if s.at > w.length {
@@ -360,6 +394,7 @@
 		w.now = s.at
 		s.do()
 	}
+	w.checkHealed()
 	return w.failure
 }
 
