--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"citrontray.example/citrontray/internal/cell"
@@ -14,6 +15,8 @@
 const (
 	// tickInterval is how often a cell's systems run.
 	tickInterval = 50 * time.Millisecond
+	// showInterval is how often others see a cell's state anew.
+	showInterval = 250 * time.Millisecond
 	// eventBuffer is how many events wait for a cell before senders wait too.
 	eventBuffer = 256
 	// orderTimeout bounds one order; a later renewal follows anyway.
@@ -33,8 +36,10 @@
 	log     *slog.Logger
 	events  chan cell.Event
 	stopped chan struct{}
+	calls   sync.WaitGroup
 	peers   map[place.Host]place.HostRow
 	state   snapshot
+	shown   time.Time
 }
 
 // newRunner returns a runner for the cell of cfg. It has to be run.
@@ -69,12 +74,21 @@
 		case ev := <-r.events:
 			r.handle(ctx, ev)
 		case <-tick.C:
-			r.apply(ctx, r.core.Tick(time.Now()))
-			r.state.store(r.core.Status(time.Now()))
+			now := time.Now()
+			r.apply(ctx, r.core.Tick(now))
+			r.show(now)
 		}
 	}
 }
 
+// show lets other goroutines see the cell's state, at intervals.
+func (r *runner) show(now time.Time) {
+	if now.Sub(r.shown) >= showInterval {
+		r.shown = now
+		r.state.store(r.core.Status(now))
+	}
+}
+
 // handle gives one event to the core.
 func (r *runner) handle(ctx context.Context, ev cell.Event) {
 	if fleet, ok := ev.(cell.FleetSeen); ok {
@@ -97,15 +111,15 @@
 	for _, eff := range effects {
 		switch e := eff.(type) {
 		case cell.ReadDoc:
-			go readCall{r}.run(ctx)
+			r.start(ctx, readCall{r})
 		case cell.WriteDoc:
-			go writeCall{r, e}.run(ctx)
+			r.start(ctx, writeCall{r, e})
 		case cell.AcquireLease:
-			go leaseCall{r, e, time.Now()}.run(ctx)
+			r.start(ctx, leaseCall{r, e, time.Now()})
 		case cell.ReleaseLease:
-			go releaseCall{r}.run(ctx)
+			r.start(ctx, releaseCall{r})
 		case cell.SendOrder:
-			go orderCall{r, e, time.Now()}.run(ctx)
+			r.start(ctx, orderCall{r, e, time.Now()})
 		case cell.SendPeer:
 			r.sendPeer(ctx, e)
 		case cell.Publish:
@@ -118,6 +132,31 @@
 	}
 }
 
+// call is one call to the outside.
+type call interface{ run(ctx context.Context) }
+
+// start makes a call in a goroutine of its own, bounded by the call's timeout.
+func (r *runner) start(ctx context.Context, c call) {
+	r.calls.Go(func() { c.run(ctx) })
+}
+
+// finish waits for the calls under way, such as giving up the lease, until
+// ctx ends.
+func (r *runner) finish(ctx context.Context) {
+	done := make(chan struct{})
+	go r.loopFinish(done)
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// loopFinish closes done once no call is under way.
+func (r *runner) loopFinish(done chan<- struct{}) {
+	r.calls.Wait()
+	close(done)
+}
+
 // sendPeer starts one message to a roster host whose address is known.
 func (r *runner) sendPeer(ctx context.Context, e cell.SendPeer) {
 	peer, ok := r.peers[e.To]
@@ -129,7 +168,7 @@
 		r.log.Error("Message not encoded.", slog.Any("error", err))
 		return
 	}
-	go peerCall{r, peer.Lead, body}.run(ctx)
+	r.start(ctx, peerCall{r, peer.Lead, body})
 }
 
 // publish puts the cell's routing table on the board of this process.
--- a/internal/peer/quic.go
+++ b/internal/peer/quic.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"crypto/tls"
@@ -26,8 +27,10 @@
 	handshakeTimeout = 2 * time.Second
 	idleTimeout      = 6 * time.Second
 	keepAlive        = 2 * time.Second
-	// upkeepInterval is the time between two looks at keys and connections.
-	upkeepInterval = 2 * time.Second
+	defaultUpkeep    = 2 * time.Second
+	// verifyInterval is the time between two checks that the certificates of
+	// open connections are still in their period; new keys check them at once.
+	verifyInterval = 30 * time.Second
 	// unusedTimeout is how long a connection without calls is kept.
 	unusedTimeout = time.Minute
 	// maxSessions bounds the connections that others opened.
@@ -79,6 +82,9 @@
 	Conn net.PacketConn
 	Keys Credentials
 	Log  *slog.Logger
+	// Upkeep is the time between two looks at key files and connections;
+	// zero stands for 2 s.
+	Upkeep time.Duration
 	// Cut, where set, reports whether this process is cut off from an
 	// address. Tests and the lab use it.
 	Cut func(to netip.AddrPort) bool
@@ -89,6 +95,7 @@
 	keys      Credentials
 	log       *slog.Logger
 	cut       func(netip.AddrPort) bool
+	every     time.Duration
 	transport *quic.Transport
 	listener  *quic.Listener
 	ctx       context.Context
@@ -99,6 +106,7 @@
 	handlers map[Kind]Handler
 	remotes  map[netip.AddrPort]*remote
 	sessions map[*session]struct{}
+	verified time.Time
 }
 
 var _ Link = (*Peer)(nil)
@@ -121,6 +129,7 @@
 		keys:      cfg.Keys,
 		log:       journal.Part(cfg.Log, "peer"),
 		cut:       cfg.Cut,
+		every:     cmp.Or(cfg.Upkeep, defaultUpkeep),
 		transport: &quic.Transport{Conn: conn, StatelessResetKey: &reset},
 		handlers:  make(map[Kind]Handler),
 		remotes:   make(map[netip.AddrPort]*remote),
@@ -227,7 +236,7 @@
 
 // loop looks after keys and connections until the end.
 func (p *Peer) loop() {
-	ticker := time.NewTicker(upkeepInterval)
+	ticker := time.NewTicker(p.every)
 	defer ticker.Stop()
 	for {
 		select {
@@ -251,11 +260,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for s := range p.sessions {
-		if _, err := p.keys.Verify(now, s.chain); err != nil {
-			p.log.Warn("connection ended, its certificate is no longer valid", slog.String("host", string(s.identity.Host)))
-			s.close(codeDenied)
-		}
+	if changed || now.Sub(p.verified) >= verifyInterval {
+		p.verified = now
+		p.verify(now)
 	}
 	for addr, r := range p.remotes {
 		if !r.upkeep(now) {
@@ -263,3 +270,17 @@
 		}
 	}
 }
+
+// verify ends the connections whose certificates are no longer valid. The
+// caller holds mu.
+func (p *Peer) verify(now time.Time) {
+	for s := range p.sessions {
+		if _, err := p.keys.Verify(now, s.chain); err != nil {
+			p.log.Warn("Connection ended, its certificate is no longer valid.", slog.String("host", string(s.identity.Host)))
+			s.close(codeDenied)
+		}
+	}
+	for _, r := range p.remotes {
+		r.verify(now)
+	}
+}
