--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -57,7 +57,8 @@
 	m.intents = nil
 }
 
-// alignMates lists the roster and the hosts that should join it.
+// alignMates lists the roster, the hosts that should join it, and those that
+// left it and have not heard so.
 func (c *Cell) alignMates() {
 	old := c.mates
 	c.mates = nil
@@ -69,6 +70,11 @@
 			c.addMate(old, h, false)
 		}
 	}
+	for _, r := range c.doc.Removed {
+		if c.mate(r.Host) == nil {
+			c.addMate(old, r.Host, false)
+		}
+	}
 }
 
 func (c *Cell) addMate(old []mate, host place.Host, member bool) {
@@ -231,10 +237,11 @@
 	return c.leading() && members == 0 && !c.write.pending
 }
 
-// overHold reports whether the store has been out of reach for longer than
-// the service allows.
+// overHold reports whether this host has been without the lease for longer
+// than the service allows. Contact alone does not count: another zone that
+// waits for the hold to pass has taken the lease, and counts from there.
 func (c *Cell) overHold() bool {
-	return c.cfg.Hold > 0 && c.now.After(c.lease.contact.Add(c.shorter(c.cfg.Hold)))
+	return c.cfg.Hold > 0 && c.now.After(c.lease.held.Add(c.shorter(c.cfg.Hold)))
 }
 
 // allPromised reports whether every roster host promises to this one and has
@@ -288,6 +295,9 @@
 				from = latest(from, m.since)
 			}
 		}
+		for _, since := range c.lostSince {
+			from = latest(from, since)
+		}
 	}
 	return from.Add(c.longer(c.cfg.Timing.Grant))
 }
--- a/internal/lead/daemon.go
+++ b/internal/lead/daemon.go
@@ -57,6 +57,7 @@
 	log     *slog.Logger
 	metrics *metric.Registry
 	started time.Time
+	library *library
 
 	mu      sync.Mutex
 	runners map[cell.ID]*runner
@@ -73,9 +74,11 @@
 		log:     parts.Log,
 		metrics: parts.Metrics,
 		started: time.Now(),
+		library: newLibrary(parts.Board, parts.Log),
 		runners: make(map[cell.ID]*runner),
 	}
 	d.link.Handle(peer.KindCell, d.handleCell)
+	d.link.Handle(peer.KindStatus, d.handleStatus)
 	return d
 }
 
@@ -111,6 +114,9 @@
 			d.log.Warn("Cell not handed over in time.", slog.String("service", string(r.id.Service)))
 		}
 	}
+	for _, r := range runners {
+		r.finish(ctx)
+	}
 }
 
 // handleCell passes a message of another lead on to its cell.
@@ -131,6 +137,11 @@
 	return nil, nil
 }
 
+// handleStatus answers a peer's question whether this process runs.
+func (d *Daemon) handleStatus(context.Context, peer.Identity, []byte) ([]byte, error) {
+	return []byte(d.cfg.Host), nil
+}
+
 // all returns the runners of all cells.
 func (d *Daemon) all() []*runner {
 	d.mu.Lock()
