--- a/internal/bench/act.go
+++ b/internal/bench/act.go
@@ -58,7 +58,9 @@
 		}
 		return nil
 	case DrainTarget:
-		return r.Director.Operate("drain", string(r.target(a.Target).Name()))
+		err := r.Director.Operate("drain", string(r.target(a.Target).Name()))
+		r.leaving = leaving{target: r.target(a.Target), since: time.Now()}
+		return err
 	case RaceSettings:
 		return r.Director.Operate("race")
 	}
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -12,6 +12,9 @@
 	"citrontray.example/citrontray/internal/standin"
 )
 
+// leavingBound is for how long a leaving target may get new work.
+const leavingBound = 3 * time.Second
+
 // Report is what a run measured.
 type Report struct {
 	Values []Value
@@ -72,9 +75,38 @@
 	add("store_writes_s", perSecond(after.platform.Writes-before.platform.Writes), "1/s")
 	r.addUsage(add, before, after, span)
 	report.Broken = r.broken(after, summary)
+	r.addLeaving(&report)
+	r.addSettings(&report)
 	return report
 }
 
+// addLeaving adds for how long a leaving target went on getting new work.
+func (r *Run) addLeaving(report *Report) {
+	if r.leaving.target == nil {
+		return
+	}
+	late := max(0, r.leaving.target.LastStart().Sub(r.leaving.since))
+	report.add("leaving_work_ms", millis(late), "ms")
+	if late > leavingBound {
+		report.Broken = append(report.Broken, fmt.Sprintf("a leaving target got new work for %s", late))
+	}
+}
+
+// addSettings adds how long accepted settings took to be in force.
+func (r *Run) addSettings(report *Report) {
+	if !r.Scenario.Settings {
+		return
+	}
+	f := r.settings.Figures()
+	report.add("settings_revisions", float64(f.Revisions), "1")
+	report.add("settings_in_force_ms", millis(f.Longest), "ms")
+	report.add("settings_missing", float64(f.Missing), "1")
+	report.add("settings_reverted", float64(f.Reverted), "1")
+	if f.Missing > 0 || f.Reverted > 0 {
+		report.Broken = append(report.Broken, fmt.Sprintf("settings: %d revisions not in force everywhere, %d times one reverted", f.Missing, f.Reverted))
+	}
+}
+
 // add adds one figure.
 func (r *Report) add(name string, number float64, unit string) {
 	r.Values = append(r.Values, Value{Name: name, Number: number, Unit: unit})
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -60,9 +60,17 @@
 	balancer *load.Balancer
 	plan     load.Plan
 	measured *load.Generator
+	settings *Convergence
+	leaving  leaving
 	led      place.Host // the host that KillLead and PauseLead chose
 }
 
+// leaving is a target that was told to leave.
+type leaving struct {
+	target *standin.Target
+	since  time.Time
+}
+
 // New returns a run.
 func New(config Config) *Run {
 	r := &Run{Config: config, platform: standin.NewPlatform()}
@@ -70,6 +78,11 @@
 	r.balancer = load.NewBalancer(EntryHosts(config.Hosts))
 	r.plan = load.NewPlan(config.Preset, config.Settings, config.Scenario.Load, config.Scenario.slowdown())
 	r.plan.Hot = config.Scenario.Hot
+	daemons := make([]netip.AddrPort, 0, 2*len(config.Hosts))
+	for _, host := range config.Hosts {
+		daemons = append(daemons, host.LeadAdmin, host.EntryAdmin)
+	}
+	r.settings = NewConvergence(r.platform, daemons)
 	return r
 }
 
@@ -188,6 +201,9 @@
 	group, loaded := errgroup.WithContext(loaded)
 	group.Go(func() error { return r.measured.Run(loaded) })
 	group.Go(func() error { return r.steps(loaded) })
+	if r.Scenario.Settings {
+		group.Go(func() error { return r.settings.Run(loaded) })
+	}
 	if err := group.Wait(); err != nil {
 		return Report{}, err
 	}
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -26,6 +26,8 @@
 	// can make more load than the targets have capacity; zero stands for 1.
 	Slowdown int
 	Hot      load.HotSet
+	// Settings tells to measure when settings are in force.
+	Settings bool
 	Steps    []Step
 }
 
@@ -231,9 +233,13 @@
 			Steps: []Step{{4 * time.Second, CutZone{2}}, {16 * time.Second, JoinZone{}}},
 		},
 		{
-			Name: "settingsrace", About: "ten operators write the same settings at once",
-			Length: 15 * time.Second, Load: baseLoad,
-			Steps: []Step{{5 * time.Second, RaceSettings{}}},
+			Name: "settingsrace", About: "ten operators write the same settings at once, three times",
+			Length: 15 * time.Second, Load: baseLoad, Settings: true,
+			Steps: []Step{
+				{2 * time.Second, RaceSettings{}},
+				{5 * time.Second, RaceSettings{}},
+				{8 * time.Second, RaceSettings{}},
+			},
 		},
 	}
 }
--- /dev/null
+++ b/internal/bench/watch.go
@@ -0,0 +1,155 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"citrontray.example/citrontray/internal/platform"
+	"citrontray.example/citrontray/internal/settings"
+	"citrontray.example/citrontray/internal/standin"
+)
+
+const (
+	watchInterval = 50 * time.Millisecond
+	watchTimeout  = time.Second
+	maxStatus     = 4 << 20
+)
+
+// Convergence measures how long an accepted revision of the settings takes to
+// be in force at each daemon, and whether any daemon ever went back.
+type Convergence struct {
+	platform *standin.Platform
+	client   *http.Client
+	daemons  []netip.AddrPort
+
+	mu       sync.Mutex
+	accepted []acceptedRevision
+	seen     map[netip.AddrPort]platform.Revision
+	longest  time.Duration
+	reverted int
+}
+
+// acceptedRevision is one revision and who has not put it in force yet.
+type acceptedRevision struct {
+	revision platform.Revision
+	at       time.Time
+	missing  map[netip.AddrPort]bool
+}
+
+// NewConvergence returns a measurement over the daemons' admin addresses.
+func NewConvergence(p *standin.Platform, daemons []netip.AddrPort) *Convergence {
+	return &Convergence{
+		platform: p,
+		client:   &http.Client{Timeout: watchTimeout},
+		daemons:  daemons,
+		seen:     make(map[netip.AddrPort]platform.Revision),
+	}
+}
+
+// Run looks at the store and the daemons until ctx ends.
+func (c *Convergence) Run(ctx context.Context) error {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		c.accept(time.Now())
+		var wg sync.WaitGroup
+		for _, daemon := range c.daemons {
+			wg.Go(func() { c.look(ctx, daemon) })
+		}
+		wg.Wait()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// accept notes a new revision of the settings.
+func (c *Convergence) accept(now time.Time) {
+	revision, at := c.platform.RevisionOf(settings.StorePath)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n := len(c.accepted); revision == 0 || n > 0 && c.accepted[n-1].revision >= revision {
+		return
+	}
+	next := acceptedRevision{revision: revision, at: at, missing: make(map[netip.AddrPort]bool)}
+	if len(c.accepted) == 0 {
+		next.at = now // accepted before the measurement
+	}
+	for _, daemon := range c.daemons {
+		next.missing[daemon] = true
+	}
+	c.accepted = append(c.accepted, next)
+}
+
+// look asks one daemon for the revision that it has in force.
+func (c *Convergence) look(ctx context.Context, daemon netip.AddrPort) {
+	revision, err := c.ask(ctx, daemon)
+	if err != nil {
+		return
+	}
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if revision < c.seen[daemon] {
+		c.reverted++
+	}
+	c.seen[daemon] = revision
+	for _, a := range c.accepted {
+		if revision >= a.revision && a.missing[daemon] {
+			delete(a.missing, daemon)
+			c.longest = max(c.longest, now.Sub(a.at))
+		}
+	}
+}
+
+// ask reads the revision from a daemon's status page.
+func (c *Convergence) ask(ctx context.Context, daemon netip.AddrPort) (platform.Revision, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+daemon.String()+"/status", nil)
+	if err != nil {
+		return 0, err
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	var page struct {
+		Revision uint64 `json:"revision"` // at the top level or below settings
+		Settings struct {
+			Revision uint64 `json:"revision"`
+		} `json:"settings"`
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxStatus)).Decode(&page); err != nil {
+		return 0, err
+	}
+	return platform.Revision(max(page.Revision, page.Settings.Revision)), nil
+}
+
+// ConvergenceFigures is what a Convergence measured.
+type ConvergenceFigures struct {
+	// Longest is the longest time until a revision was in force at a daemon.
+	Longest time.Duration
+	// Revisions counts those accepted, Missing those not in force everywhere
+	// at the end, Reverted the times that a daemon went back.
+	Revisions, Missing, Reverted int
+}
+
+// Figures returns the figures so far.
+func (c *Convergence) Figures() ConvergenceFigures {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	figures := ConvergenceFigures{Longest: c.longest, Revisions: len(c.accepted), Reverted: c.reverted}
+	for _, a := range c.accepted {
+		if len(a.missing) > 0 {
+			figures.Missing++
+		}
+	}
+	return figures
+}
--- /dev/null
+++ b/internal/bench/watch_test.go
@@ -0,0 +1,63 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/settings"
+	"citrontray.example/citrontray/internal/standin"
+)
+
+// daemonFake shows a revision on its status page.
+type daemonFake struct {
+	form     string
+	revision atomic.Uint64
+}
+
+// ServeHTTP implements http.Handler.
+func (d *daemonFake) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	fmt.Fprintf(w, d.form, d.revision.Load())
+}
+
+func TestConvergence(t *testing.T) {
+	p := standin.NewPlatform()
+	daemons := []*daemonFake{{form: `{"revision":%d}`}, {form: `{"settings":{"revision":%d}}`}}
+	addrs := make([]netip.AddrPort, len(daemons))
+	for i, daemon := range daemons {
+		server := httptest.NewServer(daemon)
+		defer server.Close()
+		addrs[i] = netip.MustParseAddrPort(server.Listener.Addr().String())
+	}
+	c := NewConvergence(p, addrs)
+	ctx := context.Background()
+	look := func() {
+		c.accept(time.Now())
+		for _, addr := range addrs {
+			c.look(ctx, addr)
+		}
+	}
+	first, err := p.Write(ctx, settings.StorePath, []byte("one"), 0)
+	assert.NilError(t, err)
+	look()
+	assert.Equal(t, c.Figures(), ConvergenceFigures{Revisions: 1, Missing: 1})
+
+	daemons[0].revision.Store(uint64(first))
+	look()
+	assert.Equal(t, c.Figures().Missing, 1)
+
+	daemons[1].revision.Store(uint64(first))
+	look()
+	assert.Equal(t, c.Figures().Missing, 0)
+
+	daemons[0].revision.Store(0)
+	look()
+	assert.Equal(t, c.Figures().Reverted, 1)
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -34,6 +34,7 @@
 	revision platform.Revision
 	values   map[platform.Path]platform.Entry
 	previous map[platform.Path]platform.Entry // for answers with old values
+	written  map[platform.Path]time.Time
 	changes  []platform.Change
 	changed  chan struct{} // closed at the next change
 	leases   map[string]lease
@@ -66,6 +67,7 @@
 	return &Platform{
 		values:   make(map[platform.Path]platform.Entry),
 		previous: make(map[platform.Path]platform.Entry),
+		written:  make(map[platform.Path]time.Time),
 		changed:  make(chan struct{}),
 		leases:   make(map[string]lease),
 		hosts:    make(map[place.Host]lagging[place.HostRow]),
@@ -153,6 +155,7 @@
 	} else {
 		p.values[change.Path] = change.Entry
 	}
+	p.written[change.Path] = time.Now()
 	p.changes = append(p.changes, change)
 	if len(p.changes) > maxChanges {
 		p.changes = slices.Clone(p.changes[len(p.changes)-maxChanges/2:])
@@ -324,3 +327,10 @@
 	}
 	return ""
 }
+
+// RevisionOf returns the revision of a value and when it was written.
+func (p *Platform) RevisionOf(path platform.Path) (platform.Revision, time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.values[path].Revision, p.written[path]
+}
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -64,6 +64,7 @@
 	gate        chan struct{} // closed while the target is not frozen
 	previous    answered      // for crossed answers
 	served      uint64
+	lastStart   time.Time // of a run
 }
 
 // life is one life of the target's process: from its start until it is killed.
@@ -143,6 +144,13 @@
 	return t.served
 }
 
+// LastStart returns when work was last started here.
+func (t *Target) LastStart() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lastStart
+}
+
 // handler serves orders, health and requests of one life.
 func (t *Target) handler(l *life) http.Handler {
 	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
@@ -265,6 +273,7 @@
 	}
 	l.running++
 	t.served++
+	t.lastStart = time.Now()
 	return key.Shard(shard), ""
 }
 
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -12,7 +12,7 @@
 LOAD=${LOAD:-0}
 SEED=${SEED:-1}
 RUN_SECONDS=${RUN_SECONDS:-55}
-BIN=$PWD/bin
+BIN=${BIN:-$PWD/bin}
 OUT=$PWD/out
 mkdir -p "$OUT"
 RUN=$(mktemp -d "$OUT/$SCENARIO-$PRESET-XXXXXX")
@@ -68,21 +68,26 @@
     ;;
 esac
 
-trap kill_all EXIT
-plan_hosts && make_keys >"$RUN/keys.log" 2>&1 || { echo "no keys, see $RUN/keys.log" >&2; exit 1; }
-mkfifo "$RUN/requests" "$RUN/answers"
-exec 5<>"$RUN/requests" 6<>"$RUN/answers"
-timeout "$RUN_SECONDS" "$BIN/citrontray-lab" bench --scenario "$SCENARIO" --preset "$PRESET" --load "$LOAD" --seed "$SEED" \
-  --hosts "$RUN/hosts" --platform "$PLATFORM" --processes "$RUN/processes" \
-  3>&5 4<&6 5>&- 6>&- >"$RUN/report" 2>"$RUN/lab.log" &
-LAB=$!
-while kill -0 "$LAB" 2>/dev/null; do
-  if IFS=' ' read -r -t 0.2 -a words <&5; then
-    if serve_request "${words[@]}"; then echo ok >&6; else echo failed >&6; fi
-  fi
-done
-wait "$LAB"
-STATUS=$?
-cat "$RUN/report"
-[ $STATUS -eq 0 ] || { tail -5 "$RUN/lab.log" >&2; echo "failed ($STATUS), logs in $RUN" >&2; }
-exit $STATUS
+# The whole script is read before it runs: a change of it does not disturb a run.
+main() {
+  trap kill_all EXIT
+  plan_hosts && make_keys >"$RUN/keys.log" 2>&1 || { echo "no keys, see $RUN/keys.log" >&2; exit 1; }
+  mkfifo "$RUN/requests" "$RUN/answers"
+  exec 5<>"$RUN/requests" 6<>"$RUN/answers"
+  timeout "$RUN_SECONDS" "$BIN/citrontray-lab" bench --scenario "$SCENARIO" --preset "$PRESET" --load "$LOAD" --seed "$SEED" \
+    --hosts "$RUN/hosts" --platform "$PLATFORM" --processes "$RUN/processes" \
+    3>&5 4<&6 5>&- 6>&- >"$RUN/report" 2>"$RUN/lab.log" &
+  LAB=$!
+  while kill -0 "$LAB" 2>/dev/null; do
+    if IFS=' ' read -r -t 0.2 -a words <&5; then
+      if serve_request "${words[@]}"; then echo ok >&6; else echo failed >&6; fi
+    fi
+  done
+  wait "$LAB"
+  STATUS=$?
+  cat "$RUN/report"
+  [ $STATUS -eq 0 ] || { tail -5 "$RUN/lab.log" >&2; echo "failed ($STATUS), logs in $RUN" >&2; }
+  exit $STATUS
+}
+
+main
