--- /dev/null
+++ b/internal/placement/planner_test.go
@@ -0,0 +1,245 @@
+package placement_test
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cespare/xxhash/v2"
+
+	"citrontray.example/citrontray/internal/cell"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/placement"
+	"citrontray.example/citrontray/internal/placement/topk"
+)
+
+const (
+	simTargets = 20
+	simShards  = 1024
+	simHot     = 74
+	simCold    = 20_000
+	// simLoad is the number of busy slots, of three in each target.
+	simLoad    = 30.0
+	simService = 10 * time.Millisecond
+	// simShift is how often the whole hot set changes.
+	simShift = time.Minute
+)
+
+var simStart = time.Unix(1_800_000_000, 0)
+
+// world is a service under load, second by second.
+type world struct {
+	random *rand.Rand
+	now    time.Time
+	layout placement.Layout
+	rowOf  map[key.Shard]int
+	soloOf map[key.Hash]key.Shard
+	next   key.Shard
+	cold   []key.Hash
+	hot    []key.Hash
+	share  []float64 // of the hot keys, in the whole load
+}
+
+func newWorld(seed uint64, hotShare float64) *world {
+	w := &world{
+		random: rand.New(rand.NewPCG(seed, 0)), now: simStart, next: simShards,
+		rowOf: make(map[key.Shard]int), soloOf: make(map[key.Hash]key.Shard),
+	}
+	for i := range simTargets {
+		w.layout.Targets = append(w.layout.Targets, placement.TargetRow{Target: place.Target(fmt.Sprintf("t%02d", i)), Weight: 1})
+	}
+	for i := range simShards {
+		w.rowOf[key.Shard(i)] = len(w.layout.Rows)
+		w.layout.Rows = append(w.layout.Rows, placement.Row{Shard: key.Shard(i), Owner: w.rendezvous(key.Shard(i))})
+	}
+	for range simCold {
+		w.cold = append(w.cold, key.Hash(w.random.Uint64()))
+	}
+	sum := 0.0
+	for i := range simHot {
+		w.share = append(w.share, 1/math.Sqrt(float64(i+1)))
+		sum += w.share[i]
+	}
+	for i := range w.share {
+		w.share[i] *= hotShare / sum
+	}
+	w.shift()
+	return w
+}
+
+func (w *world) rendezvous(shard key.Shard) int {
+	weight := func(i int) uint64 { return xxhash.Sum64String(fmt.Sprintf("%s/%d", w.layout.Targets[i].Target, shard)) }
+	best := 0
+	for i := range w.layout.Targets {
+		if weight(i) > weight(best) {
+			best = i
+		}
+	}
+	return best
+}
+
+// shift makes other keys hot.
+func (w *world) shift() {
+	w.hot = w.hot[:0]
+	for range simHot {
+		w.hot = append(w.hot, key.Hash(w.random.Uint64()))
+	}
+}
+
+func (w *world) shardOf(h key.Hash) key.Shard {
+	if shard, ok := w.soloOf[h]; ok {
+		return shard
+	}
+	return h.Shard(simShards)
+}
+
+// step runs one second and returns the report of all entries together and the
+// load that each target really had.
+func (w *world) step() (placement.Report, []float64) {
+	w.now = w.now.Add(time.Second)
+	perSecond := simLoad / simService.Seconds()
+	requests := make(map[key.Shard]uint32)
+	truth := make([]float64, simTargets)
+	sketch := topk.New(2 * placement.MaxHot)
+	count := func(h key.Hash, rate float64) {
+		shard := w.shardOf(h)
+		truth[w.layout.Rows[w.rowOf[shard]].Owner] += rate * simService.Seconds()
+		n := w.poisson(rate)
+		if n == 0 {
+			return
+		}
+		requests[shard] += n
+		if shard < simShards {
+			sketch.Add(h, uint64(n)*uint64(simService))
+		}
+	}
+	hotShare := 0.0
+	for i, h := range w.hot {
+		hotShare += w.share[i]
+		count(h, perSecond*w.share[i])
+	}
+	for _, h := range w.cold {
+		count(h, perSecond*(1-hotShare)/simCold)
+	}
+	r := placement.Report{Period: time.Second}
+	for shard, n := range requests {
+		r.Shards = append(r.Shards, placement.ShardLoad{Shard: shard, Requests: n, Busy: time.Duration(n) * simService})
+	}
+	slices.SortFunc(r.Shards, func(a, b placement.ShardLoad) int { return cmp.Compare(a.Shard, b.Shard) })
+	for _, item := range sketch.Top(placement.MaxHot) {
+		r.Hot = append(r.Hot, placement.HotKey{Hash: item.Hash, Busy: time.Duration(item.Weight), Error: time.Duration(item.Error)})
+	}
+	return r, truth
+}
+
+// poisson draws a count by its mean (Knuth for small, normal for large means).
+func (w *world) poisson(mean float64) uint32 {
+	if mean > 30 {
+		return uint32(max(0, math.Round(mean+math.Sqrt(mean)*w.random.NormFloat64())))
+	}
+	limit, n := math.Exp(-mean), uint32(0)
+	for product := w.random.Float64(); product > limit; product *= w.random.Float64() {
+		n++
+	}
+	return n
+}
+
+// carryOut does what a cell does with a plan, and returns the moves of
+// ownership.
+func (w *world) carryOut(plan []cell.PlannedMove) int {
+	moves := 0
+	for _, m := range plan {
+		row := w.rowOf[m.Shard]
+		if m.Cut {
+			w.soloOf[m.Solo] = w.next
+			w.rowOf[w.next] = len(w.layout.Rows)
+			w.layout.Rows = append(w.layout.Rows, placement.Row{Shard: w.next, Owner: w.layout.Rows[row].Owner, Solo: true, Hash: m.Solo})
+			row = w.rowOf[w.next]
+			w.next++
+		}
+		to := slices.IndexFunc(w.layout.Targets, func(t placement.TargetRow) bool { return t.Target == m.To })
+		if to >= 0 && w.layout.Rows[row].Owner != to {
+			w.layout.Rows[row].Owner = to
+			moves++
+		}
+	}
+	return moves
+}
+
+// outcome sums up one run.
+type outcome struct {
+	mean, p95, worst float64 // of the busiest target's load over the mean
+	movesPerMinute   float64
+	mostInMinute     int
+	solos            int
+}
+
+// play runs a world for some minutes; a planner of nil keeps the rendezvous
+// layout.
+func play(seed uint64, hotShare float64, minutes int, cfg placement.Config, p *placement.Planner) outcome {
+	w := newWorld(seed, hotShare)
+	loads := placement.NewLoads()
+	var imbalance []float64
+	var starts []time.Time
+	var out outcome
+	for second := range minutes * 60 {
+		if second > 0 && second%int(simShift.Seconds()) == 0 {
+			w.shift()
+		}
+		report, truth := w.step()
+		imbalance = append(imbalance, slices.Max(truth)/(simLoad/simTargets))
+		if p == nil {
+			continue
+		}
+		loads.Add(w.now, report)
+		for range w.carryOut(p.Plan(w.now, cfg, w.layout, loads)) {
+			starts = append(starts, w.now)
+		}
+		recent := 0
+		for _, at := range starts {
+			if w.now.Sub(at) < time.Minute {
+				recent++
+			}
+		}
+		out.mostInMinute = max(out.mostInMinute, recent)
+	}
+	out.solos = len(w.soloOf)
+	out.movesPerMinute = float64(len(starts)) / float64(minutes)
+	slices.Sort(imbalance)
+	for _, x := range imbalance {
+		out.mean += x / float64(len(imbalance))
+	}
+	out.p95, out.worst = imbalance[len(imbalance)*95/100], imbalance[len(imbalance)-1]
+	return out
+}
+
+func (o outcome) String() string {
+	return fmt.Sprintf("imbalance mean %.2f p95 %.2f worst %.2f, moves a minute %.1f (most %d), solo keys %d",
+		o.mean, o.p95, o.worst, o.movesPerMinute, o.mostInMinute, o.solos)
+}
+
+// TestAgainstRendezvous compares placement with the static rendezvous layout,
+// in one run, while 74 hot keys are replaced by others each minute.
+func TestAgainstRendezvous(t *testing.T) {
+	const minutes = 3
+	for _, hotShare := range []float64{0.3, 0.6} {
+		for _, budget := range []int{10, 30, 60} {
+			t.Run(fmt.Sprintf("hot share %.1f, %d moves a minute", hotShare, budget), func(t *testing.T) {
+				cfg := placement.Config{ImbalancePercent: 20, MovesPerMinute: budget, Shards: simShards}
+				static := play(1, hotShare, minutes, cfg, nil)
+				planned := play(1, hotShare, minutes, cfg, placement.NewPlanner())
+				t.Logf("static:  %s", static)
+				t.Logf("planned: %s", planned)
+				assert.Assert(t, planned.mostInMinute <= budget)
+				assert.Assert(t, planned.mean < static.mean)
+			})
+		}
+	}
+}
