--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -69,7 +69,6 @@
 	mates     []mate
 	targets   []targetState
 	rows      []rowState
-	intents   []Intent // of the lead, as a follower heard them
 
 	heartbeatDue time.Time
 	maintainDue  time.Time
@@ -111,7 +110,7 @@
 type knobs struct {
 	extendGrants, noInventory, manyUnaccounted, lonely        bool
 	lapseFromAnchor, sharedPromises, noSilence, standbyUnread bool
-	noIntents, deputyIntents, forgetRemoved, noParentCheck    bool
+	forgetRemoved, noParentCheck                              bool
 	assumeLost, leaseFromAnswer, leaseUnverified              bool
 }
 
@@ -256,7 +255,6 @@
 	maxRoster    = 4
 	maxRemoved   = 16
 	releaseBatch = 64
-	maxIntents   = 1024
 )
 
 // Pacing of work that no timer of Timing names.
--- a/internal/cell/codec.go
+++ b/internal/cell/codec.go
@@ -5,7 +5,6 @@
 	"github.com/samber/oops"
 
 	"citrontray.example/citrontray/internal/grant"
-	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/platform"
 )
@@ -74,17 +73,9 @@
 	Flag        bool
 	Incarnation uint64
 	Revision    uint64
-	Intents     []wireIntent
 	Doc         *wireDoc
 }
 
-type wireIntent struct {
-	_     struct{} `cbor:",toarray"`
-	Shard uint32
-	To    uint16
-	Epoch uint64
-}
-
 // EncodeMessage returns the message as it travels between hosts.
 func EncodeMessage(m Message) ([]byte, error) {
 	data, err := cbor.Marshal(messageToWire(m))
@@ -106,7 +97,7 @@
 	case Heartbeat:
 		w := wireMessage{
 			Kind: wireHeartbeat, Term: uint64(m.Term), SentAt: timeToWire(m.SentAt),
-			Flag: m.Deputy, Revision: uint64(m.Revision), Intents: intentsToWire(m.Intents),
+			Flag: m.Deputy, Revision: uint64(m.Revision),
 		}
 		if m.Doc != nil {
 			doc := docToWire(*m.Doc)
@@ -117,7 +108,7 @@
 		return wireMessage{
 			Kind: wirePromise, Term: uint64(m.Term), SentAt: timeToWire(m.SentAt),
 			Flag: m.ReadStore, Incarnation: uint64(m.Incarnation),
-			Revision: uint64(m.Revision), Intents: intentsToWire(m.Intents),
+			Revision: uint64(m.Revision),
 		}
 	case Refuse:
 		return wireMessage{Kind: wireRefuse, Term: uint64(m.Term)}
@@ -135,7 +126,7 @@
 		return Promise{
 			Term: grant.Term(w.Term), SentAt: timeFromWire(w.SentAt),
 			Incarnation: place.Incarnation(w.Incarnation), ReadStore: w.Flag,
-			Intents: intentsFromWire(w.Intents), Revision: platform.Revision(w.Revision),
+			Revision: platform.Revision(w.Revision),
 		}, nil
 	case wireRefuse:
 		return Refuse{Term: grant.Term(w.Term)}, nil
@@ -148,7 +139,7 @@
 func heartbeatFromWire(w wireMessage) (Message, error) {
 	m := Heartbeat{
 		Term: grant.Term(w.Term), SentAt: timeFromWire(w.SentAt), Deputy: w.Flag,
-		Revision: platform.Revision(w.Revision), Intents: intentsFromWire(w.Intents),
+		Revision: platform.Revision(w.Revision),
 	}
 	if w.Doc == nil {
 		return m, nil
@@ -160,22 +151,3 @@
 	m.Doc = &doc
 	return m, nil
 }
-
-func intentsToWire(intents []Intent) []wireIntent {
-	out := make([]wireIntent, 0, len(intents))
-	for _, i := range intents {
-		out = append(out, wireIntent{Shard: uint32(i.Shard), To: uint16(i.To), Epoch: uint64(i.Epoch)})
-	}
-	return out
-}
-
-func intentsFromWire(intents []wireIntent) []Intent {
-	if len(intents) == 0 {
-		return nil
-	}
-	out := make([]Intent, 0, len(intents))
-	for _, i := range intents {
-		out = append(out, Intent{Shard: key.Shard(i.Shard), To: TargetIndex(i.To), Epoch: grant.Epoch(i.Epoch)})
-	}
-	return out
-}
--- a/internal/cell/codec_test.go
+++ b/internal/cell/codec_test.go
@@ -50,11 +50,10 @@
 
 func TestMessageCodec(t *testing.T) {
 	doc, at := wholeDoc(), time.Unix(3, 4).UTC()
-	intents := []Intent{{Shard: 1, To: 2, Epoch: 3}}
 	tests := map[string]Message{
-		"heartbeat": Heartbeat{Term: 2, SentAt: at, Deputy: true, Revision: 5, Intents: intents},
+		"heartbeat": Heartbeat{Term: 2, SentAt: at, Deputy: true, Revision: 5},
 		"document":  Heartbeat{Term: 2, SentAt: at, Revision: 5, Doc: &doc},
-		"promise":   Promise{Term: 2, SentAt: at, Incarnation: 6, ReadStore: true, Intents: intents, Revision: 7},
+		"promise":   Promise{Term: 2, SentAt: at, Incarnation: 6, ReadStore: true, Revision: 7},
 		"refuse":    Refuse{Term: 3},
 		"handover":  Handover{Term: 4},
 	}
--- a/internal/cell/deputy.go
+++ b/internal/cell/deputy.go
@@ -1,10 +1,6 @@
 package cell
 
-import (
-	"slices"
-
-	"citrontray.example/citrontray/internal/grant"
-)
+import "slices"
 
 // considerDeputy turns a campaign that can't reach the store into deputising.
 // The host must have read the store and heard the lead in this life. With a
@@ -40,14 +36,3 @@
 	c.heartbeat()
 	c.orders()
 }
-
-// withoutIntents leaves out the shards whose standby the lead meant to
-// activate: it may have done so.
-func (c *Cell) withoutIntents(want []grant.Held) []grant.Held {
-	if c.knobs.deputyIntents {
-		return want
-	}
-	return slices.DeleteFunc(want, func(h grant.Held) bool {
-		return slices.ContainsFunc(c.intents, func(i Intent) bool { return i.Shard == h.Shard })
-	})
-}
--- a/internal/cell/event.go
+++ b/internal/cell/event.go
@@ -193,16 +193,16 @@
 	// Revision is the newest document that the sender knows; the receiver
 	// asks for it through the peers where it is older.
 	Revision platform.Revision
-	Intents  []Intent
 	// Doc is the document of that revision, for a receiver known to be behind.
 	Doc *Doc
 }
 
-// Intent is a standby that the lead means to activate while the store is out.
-type Intent struct {
-	Shard key.Shard
-	To    TargetIndex
-	Epoch grant.Epoch
+// Activation is a standby that the lead made the owner while the store is out.
+type Activation struct {
+	Evidence grant.Evidence
+	Shard    key.Shard
+	To       TargetIndex
+	Epoch    grant.Epoch
 }
 
 // Promise answers a heartbeat: until the promise's end, counted by the lead
@@ -212,7 +212,6 @@
 	SentAt      time.Time // copied from the heartbeat
 	Incarnation place.Incarnation
 	ReadStore   bool
-	Intents     []Intent
 	// Revision is the newest document that the sender knows.
 	Revision platform.Revision
 }
--- a/internal/cell/membership.go
+++ b/internal/cell/membership.go
@@ -34,7 +34,7 @@
 func (c *Cell) calm() bool {
 	for i := range c.rows {
 		s := &c.rows[i]
-		if s.doubt || s.releasing || s.active != nil || s.intent != nil {
+		if s.doubt || s.releasing || s.active != nil {
 			return false
 		}
 		if o := c.doc.Rows[i].Owner; o != NoTarget && !c.answering(&c.targets[o]) {
--- a/internal/cell/network_test.go
+++ b/internal/cell/network_test.go
@@ -246,6 +246,9 @@
 		o.Anchor = now
 	}
 	a := t.holds.Apply(now, o)
+	if w.termless {
+		a.Term = 0
+	}
 	w.checkTarget(t, o)
 	answer(a)
 }
--- a/internal/cell/order.go
+++ b/internal/cell/order.go
@@ -52,9 +52,6 @@
 func (c *Cell) renew(i TargetIndex, o *grant.Order) bool {
 	t := &c.targets[i]
 	want := c.expected(i)
-	if c.role == deputy {
-		want = c.withoutIntents(want)
-	}
 	if c.leading() {
 		o.Release = c.releases(i, want)
 	}
@@ -111,5 +108,5 @@
 		return true
 	}
 	r, s := c.row(i), &c.rows[i]
-	return !s.doubt && s.intent == nil && !c.write.pending && r.Owner != t && r.Epoch > h.Epoch
+	return !s.doubt && !c.write.pending && r.Owner != t && r.Epoch > h.Epoch
 }
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -47,7 +47,7 @@
 // free reports whether nothing else is under way for the row.
 func (c *Cell) free(i int) bool {
 	s := &c.rows[i]
-	return !s.doubt && !s.releasing && s.active == nil && s.intent == nil
+	return !s.doubt && !s.releasing && s.active == nil
 }
 
 func (c *Cell) release(i int, to TargetIndex) {
--- a/internal/cell/publish.go
+++ b/internal/cell/publish.go
@@ -65,7 +65,7 @@
 	Rows        int
 	Doubts      []DoubtStatus
 	Releasing   []key.Shard
-	Activated   []Intent
+	Activated   []Activation
 	Moves       []Move
 	Given       []Given
 	Solos       int
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -30,7 +30,6 @@
 	incarnation place.Incarnation
 	readStore   bool
 	revision    platform.Revision
-	intents     []Intent
 	// sent holds when the last heartbeats were sent, the newest at position
 	// next-1. A promise names one of them; its own text of the time has lost
 	// the monotonic reading.
@@ -54,7 +53,6 @@
 // forget drops what was promised to an earlier term.
 func (m *mate) forget() {
 	m.until, m.since = time.Time{}, time.Time{}
-	m.intents = nil
 }
 
 // alignMates lists the roster, the hosts that should join it, and those that
@@ -114,7 +112,7 @@
 		m := &c.mates[i]
 		hb := Heartbeat{
 			Term: c.doc.Term, SentAt: c.now, Deputy: c.role == deputy,
-			Revision: c.revision, Intents: c.pendingIntents(),
+			Revision: c.revision,
 		}
 		if m.incarnation != 0 && m.revision < c.revision {
 			doc := c.doc.clone()
@@ -155,12 +153,11 @@
 	}
 	if !hb.Deputy {
 		c.promise.heard, c.promise.heardLead = c.now, true
-		c.intents = slices.Clone(hb.Intents)
 	}
 	c.promise.to, c.promise.until = from, c.now.Add(c.cfg.Timing.Promise)
 	c.emit(SendPeer{To: from, Message: Promise{
 		Term: hb.Term, SentAt: hb.SentAt, Incarnation: c.cfg.Incarnation,
-		ReadStore: c.readStore, Intents: hb.Intents, Revision: c.revision,
+		ReadStore: c.readStore, Revision: c.revision,
 	}})
 }
 
@@ -197,7 +194,6 @@
 	}
 	m.until = latest(m.until, sent.Add(c.shorter(c.cfg.Timing.Promise)))
 	m.incarnation, m.readStore, m.revision = p.Incarnation, p.ReadStore, p.Revision
-	m.intents = p.Intents
 }
 
 // takeHandover frees this host to take the lead at once.
--- a/internal/cell/row.go
+++ b/internal/cell/row.go
@@ -20,9 +20,8 @@
 	releaseAt time.Time
 	to        TargetIndex // where the shard moves; NoTarget: any
 	giving    bool        // custody took the shard away
-	// intent is the standby that is to be activated, active the one that was.
-	intent *Intent
-	active *Intent
+	// active is the standby that this lead made the owner.
+	active *Activation
 }
 
 // alignRows carries the states over to the rows of the new document.
@@ -57,7 +56,7 @@
 // granted reports whether orders of now may name the row for its owner.
 func (c *Cell) granted(i int) bool {
 	s := &c.rows[i]
-	if s.doubt || s.releasing || s.intent != nil && s.active == nil {
+	if s.doubt || s.releasing {
 		return false
 	}
 	if !c.write.pending {
--- a/internal/cell/run_test.go
+++ b/internal/cell/run_test.go
@@ -21,6 +21,7 @@
 		seed: seed, hosts: 1 + r.IntN(6), targets: 3 + r.IntN(3), unfenced: r.IntN(5) == 0,
 		faultRate: 0.2 + 1.5*r.Float64(), storeRate: 1.5 * r.Float64(), linkRate: r.Float64(),
 	}
+	o.termless = o.unfenced && r.IntN(2) == 0
 	if r.IntN(6) == 0 {
 		o.hold = 5 * time.Second
 	}
@@ -143,8 +144,6 @@
 	{"exclusive promises", func(o *options) { o.knobs.sharedPromises = true }},
 	{"silence of a restarted host", func(o *options) { o.knobs.noSilence = true }},
 	{"read the store first", func(o *options) { o.knobs.standbyUnread = true }},
-	{"acknowledged intents", func(o *options) { o.knobs.noIntents = true }},
-	{"deputy skips intents", func(o *options) { o.knobs.deputyIntents = true }},
 	{"removed hosts count", func(o *options) { o.knobs.forgetRemoved = true }},
 	{"parent of a solo key ended", func(o *options) { o.knobs.noParentCheck = true }},
 	{"lost answer is not a failure", func(o *options) { o.knobs.assumeLost = true }},
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -92,8 +92,10 @@
 	knobs                    knobs
 	noAnchor                 bool
 	unfenced, calm, unhealed bool
-	hold                     time.Duration
-	length                   time.Duration
+	// termless targets check no terms and don't report them either.
+	termless bool
+	hold     time.Duration
+	length   time.Duration
 	// faultRate is for hosts, targets and links, storeRate for the store,
 	// linkRate for single links to the store.
 	faultRate, storeRate, linkRate float64
