Targets' slots shared by direct sends and one home; keys have homes of their own

Now a request goes directly while the target has free slots and through the target's one home while requests wait; the home of an idempotency key goes by the key alone; one host alone resends.

--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -31,10 +31,28 @@
 	homeGrace = 100 * time.Millisecond
 )
 
-// dispatch runs the request here or at the home of its target.
+// dispatch runs a request that came to this entry host. One with an
+// idempotency key goes to the home of its key first.
 func (e *Entry) dispatch(ctx context.Context, w *work) outcome.Result {
-	if e.cfg.Link == nil || (e.cfg.Sharing == ShareAdaptive && w.join == "") {
-		return e.runHere(ctx, w)
+	if w.join == "" {
+		return e.route(ctx, w)
+	}
+	for {
+		v := e.view.Load()
+		home, ok := v.homeOfKey(w.request.Service, w.hash)
+		if !ok || home.Host == e.cfg.Host || e.cfg.Link == nil {
+			return e.join(ctx, w)
+		}
+		if result := e.handOver(ctx, v, nil, home, w); result != nil {
+			return result
+		}
+	}
+}
+
+// route runs the request here or at the home of its target.
+func (e *Entry) route(ctx context.Context, w *work) outcome.Result {
+	if e.cfg.Link == nil || e.cfg.Sharing == ShareAdaptive {
+		return e.serve(ctx, w)
 	}
 	for {
 		v := e.view.Load()
@@ -45,11 +63,11 @@
 			}
 			continue
 		}
-		home, self := e.home(l, w.join != "")
+		home, self := e.homeOfTarget(l)
 		if self {
-			return e.runHere(ctx, w)
+			return e.serve(ctx, w)
 		}
-		if e.cfg.Sharing == ShareMixed && w.join == "" && l.free(time.Now()) {
+		if e.cfg.Sharing == ShareMixed && l.free(time.Now()) {
 			if result := e.direct(ctx, w); result != nil {
 				return result
 			}
@@ -69,13 +87,6 @@
 	return e.serve(ctx, w)
 }
 
-func (e *Entry) runHere(ctx context.Context, w *work) outcome.Result {
-	if w.join != "" {
-		return e.join(ctx, w)
-	}
-	return e.serve(ctx, w)
-}
-
 // laneFor returns the lane of the request's owner, or nil.
 func (e *Entry) laneFor(v *view, w *work) *lane {
 	s := v.services[w.request.Service]
@@ -86,19 +97,18 @@
 	return o.lane
 }
 
-// home returns the home of a lane's target; self is true for this host. A
-// strict choice does not pass over a home that was not reached: a request
-// with an idempotency key may be there already.
-func (e *Entry) home(l *lane, strict bool) (place.HostRow, bool) {
+// homeOfTarget returns the home of a lane's target; self is true for this
+// host. Homes that are suspected are passed over.
+func (e *Entry) homeOfTarget(l *lane) (home place.HostRow, self bool) {
 	ranked := l.homes.Load()
-	if ranked == nil || len(*ranked) == 0 {
+	if ranked == nil {
 		return place.HostRow{}, true
 	}
 	for _, h := range *ranked {
 		if h.Host == e.cfg.Host {
 			return h, true
 		}
-		if strict || !e.homes.suspected(h.Host) {
+		if !e.homes.suspected(h.Host) {
 			return h, false
 		}
 	}
@@ -127,7 +137,7 @@
 		return e.homeLost(ctx, home.Host, w)
 	}
 	result, waited, err := decodeResult(answer)
-	if waited {
+	if waited && l != nil {
 		l.contend(time.Now())
 	}
 	if err != nil {
@@ -136,6 +146,10 @@
 	if f, ok := result.(outcome.NotRunFailure); ok && f.Reason == reasonNotHome {
 		return e.homeAway(ctx, v, home.Host, w)
 	}
+	if f, ok := result.(outcome.UnknownFailure); ok && w.join == "" && e.mayResend(ctx, w, f.Reason) {
+		w.uncertain = f.Reason
+		return nil
+	}
 	return result
 }
 
@@ -146,13 +160,23 @@
 	if ctx.Err() != nil || !w.deadline.After(time.Now()) {
 		return outcome.UnknownFailure{Reason: outcome.AnswerLate}
 	}
-	if !w.idempotent || w.join != "" || w.uncertain != "" || !e.spend() {
+	if w.join != "" || !e.mayResend(ctx, w, outcome.AnswerCut) {
 		return outcome.UnknownFailure{Reason: outcome.AnswerCut}
 	}
 	w.uncertain = outcome.AnswerCut
 	return nil
 }
 
+// mayResend takes the right to run a look-up once more after an uncertain
+// try. Only one entry host does so, the first or the home of its idempotency
+// key: else it would run more than twice.
+func (e *Entry) mayResend(ctx context.Context, w *work, reason outcome.Reason) bool {
+	if !w.idempotent || w.uncertain != "" || w.handed {
+		return false
+	}
+	return reason != outcome.AnswerLate && ctx.Err() == nil && e.spend()
+}
+
 // callHome carries the request over the peer link. Work that may not be
 // broken off goes on at the home when the caller hangs up or the home is
 // suspected.
@@ -194,6 +218,7 @@
 		return nil, err
 	}
 	w.request.ID = e.ids.next()
+	w.handed = true
 	if !e.takesOver(w) {
 		return encodeResult(outcome.NotRunFailure{Reason: reasonNotHome}, false)
 	}
@@ -202,23 +227,19 @@
 		return encodeResult(notRun(outcome.Overload, retryAfter), true)
 	}
 	defer e.memory.release(size)
-	result := e.runHere(ctx, w)
+	if w.join != "" {
+		return encodeResult(e.join(ctx, w), false)
+	}
+	result := e.serve(ctx, w)
 	return encodeResult(result, w.waited)
 }
 
 // takesOver reports whether this host runs a request that was handed to it.
-// One with an idempotency key runs nowhere but at its home.
+// One with an idempotency key runs nowhere but at the home of its key.
 func (e *Entry) takesOver(w *work) bool {
-	if e.draining.Load() {
-		return false
-	}
 	if w.join == "" {
-		return true
-	}
-	l := e.laneFor(e.view.Load(), w)
-	if l == nil {
-		return false
+		return !e.draining.Load()
 	}
-	_, self := e.home(l, true)
-	return self
+	home, ok := e.view.Load().homeOfKey(w.request.Service, w.hash)
+	return ok && home.Host == e.cfg.Host
 }
--- a/internal/entry/homes.go
+++ b/internal/entry/homes.go
@@ -5,11 +5,13 @@
 	"context"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/peer"
 	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/spread"
@@ -66,6 +68,36 @@
 	return out[:min(len(out), maxHomes)]
 }
 
+// keyHomes is the number of parts of a service's key space that each have a
+// home of their own.
+const keyHomes = 256
+
+// homeOfKey returns the entry host that runs all work with an idempotency key
+// for a key of a service. It does not depend on the owner of the key, so that
+// a repetition finds the first copy while the key moves. ok is false where no
+// hosts are known.
+func (v *view) homeOfKey(service key.Service, h key.Hash) (home place.HostRow, ok bool) {
+	if len(v.hosts) == 0 {
+		return place.HostRow{}, false
+	}
+	part := xxhash.Sum64String(string(service)) + uint64(h)>>56
+	return v.hosts[v.keyHomes[part%keyHomes]], true
+}
+
+// rankKeyHomes gives each part of the key space a home by rendezvous.
+func rankKeyHomes(hosts []place.HostRow) []int {
+	out := make([]int, keyHomes)
+	for part := range out {
+		var most uint64
+		for i, h := range hosts {
+			if w := xxhash.Sum64String(string(h.Host) + "\x00" + strconv.Itoa(part)); w >= most {
+				out[part], most = i, w
+			}
+		}
+	}
+	return out
+}
+
 // fleetHosts reads the entry hosts that the platform lists, sorted by name.
 func (e *Entry) fleetHosts() []place.HostRow {
 	doc, ok := e.cfg.Board.Get(spread.Fleet)
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -145,7 +145,9 @@
 		return e.follow(ctx, w, f)
 	}
 	stop := context.AfterFunc(ctx, func() { e.joins.leave(f) })
-	result := e.serve(runCtx, w)
+	single := *w
+	single.join, single.handed = "", false
+	result := e.route(runCtx, &single)
 	e.joins.end(time.Now(), id, f, result)
 	if stop() {
 		e.joins.leave(f)
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -193,7 +193,7 @@
 	return Config{
 		Board:          board,
 		Host:           d.opts.Host,
-		Sharing:        ShareAdaptive,
+		Sharing:        ShareMixed,
 		Link:           d.link,
 		DecodeSettings: settings.Decode,
 		DecodeTable:    table.Decode,
--- a/internal/entry/soak_test.go
+++ b/internal/entry/soak_test.go
@@ -21,10 +21,14 @@
 	"citrontray.example/citrontray/internal/grant"
 	"citrontray.example/citrontray/internal/journal"
 	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/keys"
 	"citrontray.example/citrontray/internal/metric"
 	"citrontray.example/citrontray/internal/outcome"
+	"citrontray.example/citrontray/internal/peer"
 	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/platform"
 	"citrontray.example/citrontray/internal/queue"
+	"citrontray.example/citrontray/internal/spread"
 	"citrontray.example/citrontray/internal/standin"
 	"citrontray.example/citrontray/internal/table"
 	"citrontray.example/citrontray/internal/target"
@@ -119,16 +123,57 @@
 		s.grantAll(name)
 		s.publish(name)
 	}
-	for range soakEntries {
-		s.startEntry()
-	}
+	s.startEntries()
 	return s
 }
 
-func (s *soak) startEntry() {
+// startEntries starts the entry hosts with links between them that lose
+// messages and answers.
+func (s *soak) startEntries() {
+	dir := s.TempDir()
+	assert.NilError(s, keys.MakeAuthority(time.Now(), dir))
+	links := make([]*peer.Peer, soakEntries)
+	fleet := platform.Fleet{}
+	for i := range links {
+		links[i] = newLink(s, dir, hostName(i))
+		fleet.Hosts = append(fleet.Hosts, place.HostRow{Host: hostName(i), Zone: "zone-a", Entry: links[i].Addr()})
+	}
+	list, err := spread.EncodeFleet(fleet)
+	assert.NilError(s, err)
+	s.board.Publish(spread.Document{Name: spread.Fleet, Version: spread.Version{Major: 1}, Body: list})
+	for i := range links {
+		s.startEntry(hostName(i), &lossyLink{Link: links[i], rand: rand.New(rand.NewPCG(*soakSeed, uint64(1<<33+i)))})
+	}
+}
+
+// lossyLink loses one in 200 messages before, and one in 200 answers after
+// the other side got them.
+type lossyLink struct {
+	peer.Link
+	mu   sync.Mutex
+	rand *rand.Rand
+}
+
+const lossyOdds = 200
+
+func (l *lossyLink) Call(ctx context.Context, to netip.AddrPort, kind peer.Kind, body []byte) ([]byte, error) {
+	l.mu.Lock()
+	dice := l.rand.IntN(lossyOdds)
+	l.mu.Unlock()
+	if dice == 0 {
+		return nil, peer.ErrUnreachable
+	}
+	answer, err := l.Link.Call(ctx, to, kind, body)
+	if dice == 1 {
+		return nil, peer.ErrLost
+	}
+	return answer, err
+}
+
+func (s *soak) startEntry(host place.Host, link peer.Link) {
 	e := entry.New(entry.Config{
 		Board: s.board, DecodeSettings: s.board.decodeSettings, DecodeTable: s.board.decodeTable,
-		Log: journal.Nop(), Registry: metric.New("test"), Hosts: soakEntries, Queue: queue.DefaultConfig(),
+		Log: journal.Nop(), Registry: metric.New("test"), Host: host, Link: link, Hosts: soakEntries, Queue: queue.DefaultConfig(),
 		Park: time.Second, Parked: 1000, Memory: 16 << 20, Tick: 5 * time.Millisecond,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -304,7 +349,8 @@
 	if n%2 == 1 && r.IntN(10) == 0 {
 		header.Set(target.HeaderIdempotency, operation(n))
 		again := make(chan soakEnd, 1)
-		go func() { again <- s.call(ctx, server.URL, n, header) }()
+		other := s.servers[r.IntN(len(s.servers))]
+		go func() { again <- s.call(ctx, other.URL, n, header) }()
 		end := s.call(ctx, server.URL, n, header)
 		return s.merge(end, <-again)
 	}
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -21,6 +21,9 @@
 	services map[key.Service]*service
 	tables   []*table.Table
 	hosts    []place.HostRow
+	// keyHomes gives the home of each part of a key space, as an index into
+	// hosts.
+	keyHomes []int
 	// replaced is closed once a newer view is in force.
 	replaced chan struct{}
 }
@@ -69,7 +72,10 @@
 		return
 	}
 	v.tables = e.readTables()
-	v.hosts = e.fleetHosts()
+	v.hosts, v.keyHomes = e.fleetHosts(), old.keyHomes
+	if !slices.Equal(v.hosts, old.hosts) {
+		v.keyHomes = rankKeyHomes(v.hosts)
+	}
 	for _, t := range v.tables {
 		e.mergeTable(v, t, now)
 	}
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -47,6 +47,8 @@
 	// direct tells that the request goes to its home where the target has no
 	// free slot; waited that it waited for one.
 	direct, waited bool
+	// handed tells that another entry host handed the request over.
+	handed bool
 	// returned tells that the request held a slot before and did not run.
 	returned bool
 	// uncertain is the reason of an uncertain try, after which the request
@@ -196,7 +198,7 @@
 	case forward.NotSent:
 		return e.judgeNotSent(ctx, w, r.Err)
 	case forward.Uncertain:
-		if w.idempotent && w.uncertain == "" && ctx.Err() == nil && r.Reason != outcome.AnswerLate && e.spend() {
+		if e.mayResend(ctx, w, r.Reason) {
 			w.uncertain, w.returned = r.Reason, true
 			return again{}
 		}
