--- a/internal/bench/act.go
+++ b/internal/bench/act.go
@@ -8,6 +8,12 @@
 	"citrontray.example/citrontray/internal/standin"
 )
 
+// The parts of answers that go wrong.
+const (
+	lostAnswers = 0.3
+	badAnswers  = 0.05
+)
+
 // act carries out one action.
 func (r *Run) act(action Action) error {
 	switch a := action.(type) {
@@ -23,6 +29,13 @@
 		r.platform.SetFaults(standin.PlatformFaults{Down: true})
 	case StoreSlow:
 		r.platform.SetFaults(standin.PlatformFaults{SlowMin: slowMin, SlowMax: slowMax})
+	case StoreLosesAnswers:
+		r.platform.SetFaults(standin.PlatformFaults{LoseAnswers: lostAnswers})
+	case Misbehave:
+		r.target(a.Target).SetFaults(standin.TargetFaults{
+			Cut: badAnswers, Crossed: badAnswers, Truncated: badAnswers,
+			Late: badAnswers / 5, Oversized: badAnswers / 5,
+		})
 	case StoreUp:
 		r.platform.SetFaults(standin.PlatformFaults{})
 	case CutZone:
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -54,6 +54,9 @@
 // ThawTarget lets a frozen target go on as if nothing had happened.
 type ThawTarget struct{ Target int }
 
+// Misbehave has a target cut, cross, truncate, swell and delay some answers.
+type Misbehave struct{ Target int }
+
 // KillLead ends the lead process of the first target's cell without warning.
 type KillLead struct{}
 
@@ -72,6 +75,9 @@
 // StoreSlow makes each call of the platform's service take 2 to 10 s.
 type StoreSlow struct{}
 
+// StoreLosesAnswers loses the answers of 3 calls of 10 after they took effect.
+type StoreLosesAnswers struct{}
+
 // StoreUp ends all faults of the platform's service.
 type StoreUp struct{}
 
@@ -97,24 +103,26 @@
 // RaceSettings has ten operators write the same settings at once.
 type RaceSettings struct{}
 
-func (KillTarget) action()    {}
-func (RestartTarget) action() {}
-func (FreezeTarget) action()  {}
-func (ThawTarget) action()    {}
-func (KillLead) action()      {}
-func (StartLead) action()     {}
-func (PauseLead) action()     {}
-func (ResumeLead) action()    {}
-func (StoreDown) action()     {}
-func (StoreSlow) action()     {}
-func (StoreUp) action()       {}
-func (CutZone) action()       {}
-func (JoinZone) action()      {}
-func (ReplaceHost) action()   {}
-func (DrainTarget) action()   {}
-func (SetLoad) action()       {}
-func (SetHot) action()        {}
-func (RaceSettings) action()  {}
+func (KillTarget) action()        {}
+func (RestartTarget) action()     {}
+func (FreezeTarget) action()      {}
+func (ThawTarget) action()        {}
+func (Misbehave) action()         {}
+func (KillLead) action()          {}
+func (StartLead) action()         {}
+func (PauseLead) action()         {}
+func (ResumeLead) action()        {}
+func (StoreDown) action()         {}
+func (StoreSlow) action()         {}
+func (StoreLosesAnswers) action() {}
+func (StoreUp) action()           {}
+func (CutZone) action()           {}
+func (JoinZone) action()          {}
+func (ReplaceHost) action()       {}
+func (DrainTarget) action()       {}
+func (SetLoad) action()           {}
+func (SetHot) action()            {}
+func (RaceSettings) action()      {}
 
 // baseLoad is the part of the capacity that most scenarios load.
 const baseLoad = 0.25
@@ -170,6 +178,11 @@
 			Length: 20 * time.Second, Load: baseLoad,
 			Steps: []Step{{4 * time.Second, FreezeTarget{0}}, {14 * time.Second, ThawTarget{0}}},
 		},
+		{
+			Name: "badanswers", About: "one target cuts, crosses, truncates, swells and delays answers",
+			Length: 15 * time.Second, Load: baseLoad,
+			Steps: []Step{{4 * time.Second, Misbehave{0}}},
+		},
 		{
 			Name: "drain", About: "an operator drains one target",
 			Length: 15 * time.Second, Load: baseLoad,
@@ -227,6 +240,16 @@
 			Length: 22 * time.Second, Load: baseLoad,
 			Steps: []Step{{4 * time.Second, StoreSlow{}}, {18 * time.Second, StoreUp{}}},
 		},
+		{
+			Name: "storelost", About: "the store loses 3 of 10 answers; a target and then a lead are killed",
+			Length: 22 * time.Second, Load: baseLoad,
+			Steps: []Step{
+				{3 * time.Second, StoreLosesAnswers{}},
+				{5 * time.Second, KillTarget{0}},
+				{11 * time.Second, KillLead{}},
+				{18 * time.Second, StoreUp{}},
+			},
+		},
 		{
 			Name: "zonecut", About: "one zone is cut off from the platform for 12 s",
 			Length: 22 * time.Second, Load: baseLoad,
