No timers for times that have passed

Under the race detector the tests of this package crashed now and then inside the detector (SIGSEGV in its stack depot, or its check at tsan_rtl.cpp:346), with no race reported: 5 of 11 runs of the whole package, 1 of 24 of single tests.

Cause: a timer of zero or less in a synctest bubble is run at once by the goroutine that made it, with the bubble's one race context, so two threads use it together. 60 goroutines making time.NewTimer(-1) in a bubble, and nothing else, crash in 6 of 6 runs. The pause between two polls made such timers whenever a poll took longer than the pause; it now makes none.

--- a/internal/spread/watcher.go
+++ b/internal/spread/watcher.go
@@ -191,8 +191,14 @@
 	return full/2 + rand.N(full/2)
 }
 
-// sleep waits for d or the end of ctx.
+// sleep waits for d or the end of ctx. It makes no timer for a time that has
+// passed: under the race detector, such timers of several goroutines in one
+// test bubble crash the detector (the runtime runs them at once, each on its
+// own thread but all with the bubble's one race context).
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
