Each rule has a run or a script that notices when it is broken

An evicted document gets a write id of its own, so that a lead with a write under way can't take it for its own. make soak plays long random runs and prints the seed.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,9 @@
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
 DEMO ?= agency
+RUNS ?= 10000
+SEED ?= $(shell date +%s)
+RULES ?= 0
 BINARIES = citrontray-entry citrontray-lead citrontray citrontray-lab
 DECISIONS = ./internal/cell/... ./internal/placement/... ./internal/queue/... ./internal/settings/... ./internal/spread/... ./internal/custody/...
 
@@ -29,6 +32,9 @@
 lint: ## run the linter
 	$(TOOL) golangci-lint run ./...
 
+soak: ## play many random runs of the ownership core (RUNS, SEED; RULES=n breaks each rule n times)
+	CELL_RUNS=$(RUNS) CELL_SEED=$(SEED) CELL_BREAK=$(RULES) $(GO) test ./internal/cell -run 'RandomRuns|RulesNeeded' -v -count=1 -timeout 4h
+
 vet: ## run go vet
 	$(GO) vet ./...
 
--- a/internal/cell/evict.go
+++ b/internal/cell/evict.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"citrontray.example/citrontray/internal/grant"
@@ -24,6 +25,8 @@
 	out := d.clone()
 	out.Term++
 	out.Lead = ""
+	// A lead whose own write is under way must not take this one for it.
+	out.WriteID = fmt.Sprintf("evict/%s/%d", d.ID.Zone, custody)
 	out.Custody = custody
 	for _, s := range shards {
 		floor := max(s.Floor, d.highest(s.Shard)) + lostEpochStep
--- a/internal/cell/rule_test.go
+++ b/internal/cell/rule_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/place"
 )
 
 func (w *world) cutLinks(a string, others ...string) {
@@ -102,6 +105,72 @@
 	w.crashHost(b, 50*time.Millisecond)
 }
 
+// splitSolo cuts a hot key at an owner that does not hear of it, and lets the
+// next lead settle the key's row, but not its parent's, whose standby it can't
+// reach. The owner still holds the parent at the epoch that includes the key.
+func splitSolo(w *world) {
+	w.until(4 * time.Second)
+	a, t := w.leadHost(), w.ownerNode()
+	row := w.doc.Rows[0]
+	w.cutLinks(a.name, t.name)
+	cut := PlannedMove{Shard: row.Shard, Cut: true, Solo: key.Hash(uint64(row.Shard) << 62)}
+	w.handle(a, a.life, PlanSeen{Moves: []PlannedMove{cut}})
+	w.until(w.now + 150*time.Millisecond)
+	w.drains = []place.Target{w.doc.Targets[row.Standby].Target}
+	w.tellAll()
+	w.until(w.now + 250*time.Millisecond)
+	w.handle(a, a.life, StopSeen{})
+	standby := string(w.doc.Targets[w.doc.Rows[0].Standby].Target)
+	for _, h := range w.others(a) {
+		w.cutLinks(h.name, standby)
+	}
+	solo := w.doc.Rows[len(w.doc.Rows)-1].Shard
+	for range 20 {
+		w.until(w.now + 50*time.Millisecond)
+		for _, to := range w.targets {
+			for _, h := range w.hosts {
+				w.handle(h, h.life, PlanSeen{Moves: []PlannedMove{{Shard: solo, To: place.Target(to.name)}}})
+			}
+		}
+	}
+}
+
+// pausedInCall pauses a lead while the answer about its lease is under way.
+// When it goes on, a target has forgotten all terms and reaches it alone.
+func pausedInCall(w *world) {
+	w.until(4 * time.Second)
+	a, t := w.leadHost(), w.ownerNode()
+	for !a.cell.lease.pending {
+		w.until(w.now + 100*time.Microsecond)
+	}
+	w.pauseHost(a, 6*time.Second)
+	w.crashTarget(t, 5900*time.Millisecond)
+	w.until(w.now + 100*time.Millisecond)
+	w.cutLinks(a.name, w.names()...)
+	w.link(a.name, t.name)
+	for _, h := range w.others(a) {
+		w.cutLinks(h.name, t.name)
+	}
+}
+
+// regainedLease cuts a lead off until its successor has moved the shards of a
+// target that the old lead alone reaches. Then the successor dies, and the old
+// lead gets the lapsed lease back, and loses the store before it has read it.
+func regainedLease(w *world) {
+	a, b, c, _ := backedLead(w)
+	w.cutLinks(a.name, b.name)
+	w.link(b.name, c.name)
+	w.until(16 * time.Second)
+	for _, h := range w.others(a) {
+		w.crashHost(h, time.Hour)
+	}
+	w.link(a.name, storeName)
+	for end := w.now + 5*time.Second; w.now < end && !a.at(w.now).Before(a.cell.lease.until); {
+		w.until(w.now + 100*time.Microsecond)
+	}
+	w.cutLinks(a.name, storeName)
+}
+
 // TestRulesBite plays scripts that random runs reach too seldom: each is safe
 // as it is, and doubles an owner once its rule is broken.
 func TestRulesBite(t *testing.T) {
@@ -122,6 +191,15 @@
 			options{hosts: 3, targets: 4, unfenced: true, termless: true},
 			func(o *options) { o.knobs.forgetRemoved = true },
 		},
+		"parent of a solo key ended": {
+			splitSolo, options{hosts: 3, targets: 5}, func(o *options) { o.knobs.noParentCheck = true },
+		},
+		"lease got back is verified": {
+			regainedLease, options{hosts: 3, targets: 4}, func(o *options) { o.knobs.leaseUnverified = true },
+		},
+		"lease counts from sending": {
+			pausedInCall, options{hosts: 3, targets: 4}, func(o *options) { o.knobs.leaseFromAnswer = true },
+		},
 		"read the store first": {
 			unreadBacker, options{hosts: 3, targets: 4}, func(o *options) { o.knobs.standbyUnread = true },
 		},
--- a/internal/cell/run_test.go
+++ b/internal/cell/run_test.go
@@ -75,7 +75,7 @@
 // TestRandomRuns plays hosts, targets and a store under faults of all kinds.
 // CELL_SEED and CELL_RUNS choose other seeds; CELL_TRACE prints one run.
 func TestRandomRuns(t *testing.T) {
-	count := 400
+	count := 800
 	if testing.Short() {
 		count = 60
 	}
--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -200,7 +200,7 @@
 // verifyLease writes the document unchanged, but for activated standbys. It
 // also makes any write of another host that is still on its way fail.
 func (c *Cell) verifyLease() {
-	if c.lease.verified || !c.now.Before(c.lease.until) || c.write.pending {
+	if c.lease.verified || !c.now.Before(c.lease.until) || c.write.pending || c.knobs.leaseUnverified {
 		return
 	}
 	d := c.newDraft()
