Scenarios of a lead lost with a target, and during an outage of the store

The lead is chosen by the last holder of its cell's lease: during an outage the lease has lapsed, and the fallback to the first host hit a host that leads nothing.

--- a/internal/bench/act.go
+++ b/internal/bench/act.go
@@ -56,12 +56,16 @@
 func (r *Run) actOnHosts(action Action) error {
 	switch a := action.(type) {
 	case KillLead:
-		r.led = r.leadOfFirstCell(time.Now())
+		if err := r.chooseLead(); err != nil {
+			return err
+		}
 		return r.Director.Signal("KILL", r.led, LeadPart)
 	case StartLead:
 		return r.Director.Start(r.led, LeadPart)
 	case PauseLead:
-		r.led = r.leadOfFirstCell(time.Now())
+		if err := r.chooseLead(); err != nil {
+			return err
+		}
 		return r.Director.Signal("STOP", r.led, LeadPart)
 	case ResumeLead:
 		return r.Director.Signal("CONT", r.led, LeadPart)
@@ -83,15 +87,16 @@
 // target returns a target by its number within the deployment.
 func (r *Run) target(n int) *standin.Target { return r.farm.Targets()[n] }
 
-// leadOfFirstCell returns the holder of the lease of the cell that the first
-// target is in.
-func (r *Run) leadOfFirstCell(now time.Time) place.Host {
+// chooseLead picks the lead of the cell that the first target is in.
+func (r *Run) chooseLead() error {
 	first := r.target(0)
-	holder := r.platform.Holder(now, fmt.Sprintf("lease/%s/%s", first.Service(), first.Zone()))
-	if holder == "" {
-		return r.Hosts[0].Name
+	lease := fmt.Sprintf("lease/%s/%s", first.Service(), first.Zone())
+	r.led = place.Host(r.platform.LastHolder(lease))
+	if r.led == "" {
+		return fmt.Errorf("bench: nobody holds %s", lease)
 	}
-	return place.Host(holder)
+	r.Log.Info("lead chosen", "lease", lease, "host", r.led)
+	return nil
 }
 
 // replace stops a host as planned and starts a new one in its place.
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -198,6 +198,11 @@
 			Length: 20 * time.Second, Load: baseLoad,
 			Steps: []Step{{4 * time.Second, KillLead{}}, {14 * time.Second, StartLead{}}},
 		},
+		{
+			Name: "rackloss", About: "the lead process of a cell and a target of it are killed at once",
+			Length: 20 * time.Second, Load: baseLoad,
+			Steps: []Step{{4 * time.Second, KillLead{}}, {4 * time.Second, KillTarget{0}}, {14 * time.Second, StartLead{}}},
+		},
 		{
 			Name: "leadpause", About: "the lead process of a cell is paused for 6 s",
 			Length: 18 * time.Second, Load: baseLoad,
@@ -235,6 +240,15 @@
 				{20 * time.Second, StoreUp{}},
 			},
 		},
+		{
+			Name: "storeoutleadloss", About: "the lead process of a cell is killed while the platform's service is out",
+			Length: 25 * time.Second, Load: baseLoad,
+			Steps: []Step{
+				{4 * time.Second, StoreDown{}},
+				{8 * time.Second, KillLead{}},
+				{20 * time.Second, StoreUp{}},
+			},
+		},
 		{
 			Name: "storeslow", About: "each call of the platform's service takes 2 to 10 s, for 14 s",
 			Length: 22 * time.Second, Load: baseLoad,
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -318,14 +318,12 @@
 	return l.old, l.known
 }
 
-// Holder returns who holds a lease at now, or "".
-func (p *Platform) Holder(now time.Time, name string) string {
+// LastHolder returns who held a lease last, also where it has lapsed since, or
+// "" where it was released or never held.
+func (p *Platform) LastHolder(name string) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if l := p.leases[name]; now.Before(l.end) {
-		return l.holder
-	}
-	return ""
+	return p.leases[name].holder
 }
 
 // RevisionOf returns the revision of a value and when it was written.
