--- a/internal/bench/act.go
+++ b/internal/bench/act.go
@@ -40,7 +40,11 @@
 		r.platform.SetFaults(standin.PlatformFaults{})
 	case CutZone:
 		r.platform.SetFaults(standin.PlatformFaults{CutZones: []place.Zone{r.Preset.Zones[a.Zone]}})
+	case SplitZone:
+		r.platform.SetFaults(standin.PlatformFaults{CutZones: []place.Zone{r.Preset.Zones[a.Zone]}})
+		r.network.Cut(r.Preset.Zones[a.Zone])
 	case JoinZone:
+		r.network.Cut()
 		r.platform.SetFaults(standin.PlatformFaults{})
 	case SetLoad:
 		r.measured.SetFactor(a.Load / r.Scenario.Load)
--- a/internal/bench/director.go
+++ b/internal/bench/director.go
@@ -33,8 +33,11 @@
 	return &Director{out: out, in: bufio.NewReader(in)}
 }
 
-// Started asks to start all daemons, with the platform being there now.
-func (d *Director) Started() error { return d.ask("started") }
+// Started asks to start all daemons, with the platform being there now and the
+// peer addresses that they start from.
+func (d *Director) Started(seeds []string) error {
+	return d.ask("started", strings.Join(seeds, ","))
+}
 
 // Start asks to start one process.
 func (d *Director) Start(host place.Host, part Part) error {
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -57,6 +57,7 @@
 
 	platform *standin.Platform
 	farm     *standin.Farm
+	network  *standin.Network
 	balancer *load.Balancer
 	plan     load.Plan
 	measured *load.Generator
@@ -73,7 +74,7 @@
 
 // New returns a run.
 func New(config Config) *Run {
-	r := &Run{Config: config, platform: standin.NewPlatform()}
+	r := &Run{Config: config, platform: standin.NewPlatform(), network: standin.NewNetwork()}
 	r.farm = standin.NewFarm(load.Groups(config.Preset, config.Settings, config.Scenario.slowdown()), config.Preset.Zones)
 	r.balancer = load.NewBalancer(EntryHosts(config.Hosts))
 	r.plan = load.NewPlan(config.Preset, config.Settings, config.Scenario.Load, config.Scenario.slowdown())
@@ -97,6 +98,10 @@
 	if err := r.farm.Start(); err != nil {
 		return Report{}, err
 	}
+	defer r.network.Close()
+	if err := r.connect(); err != nil {
+		return Report{}, err
+	}
 	r.register(time.Now())
 	group, ctx := errgroup.WithContext(ctx)
 	ctx, cancel := context.WithCancel(ctx)
@@ -120,6 +125,25 @@
 	return nil
 }
 
+// connect puts the network between the hosts, where the scenario wants one:
+// the platform's list then names the addresses in the network.
+func (r *Run) connect() error {
+	if !r.Scenario.Network {
+		return nil
+	}
+	for i := range r.Hosts {
+		host := &r.Hosts[i]
+		for _, addr := range []*netip.AddrPort{&host.LeadPeer, &host.EntryPeer} {
+			inside, err := r.network.Add(*addr, host.Zone)
+			if err != nil {
+				return fmt.Errorf("bench: network: %w", err)
+			}
+			*addr = inside
+		}
+	}
+	return nil
+}
+
 // register fills the platform's list without its lag.
 func (r *Run) register(now time.Time) {
 	r.platform.SetFleetLag(0)
@@ -133,7 +157,7 @@
 // direct starts the daemons, loads them, steps through the scenario and
 // stops them.
 func (r *Run) direct(ctx context.Context) (Report, error) {
-	if err := r.Director.Started(); err != nil {
+	if err := r.Director.Started(r.seeds()); err != nil {
 		return Report{}, err
 	}
 	if err := r.settle(ctx); err != nil {
@@ -155,6 +179,16 @@
 	return report, nil
 }
 
+// seeds returns the addresses that the daemons start from.
+func (r *Run) seeds() []string {
+	const count = 6
+	var seeds []string
+	for _, host := range r.Hosts[:min(count, len(r.Hosts))] {
+		seeds = append(seeds, host.LeadPeer.String())
+	}
+	return seeds
+}
+
 // settle waits until every shard has an owner and every host is ready.
 func (r *Run) settle(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -26,6 +26,8 @@
 	// can make more load than the targets have capacity; zero stands for 1.
 	Slowdown int
 	Hot      load.HotSet
+	// Network puts a network that can be cut between the hosts' peers.
+	Network bool
 	// Settings tells to measure when settings are in force.
 	Settings bool
 	Steps    []Step
@@ -84,7 +86,11 @@
 // CutZone cuts one zone, by its number, off from the platform.
 type CutZone struct{ Zone int }
 
-// JoinZone ends a CutZone.
+// SplitZone cuts one zone, by its number, off from the platform and from the
+// peers of all other zones.
+type SplitZone struct{ Zone int }
+
+// JoinZone ends a CutZone and a SplitZone.
 type JoinZone struct{}
 
 // ReplaceHost stops both processes of a host, by its number, as planned, and
@@ -117,6 +123,7 @@
 func (StoreLosesAnswers) action() {}
 func (StoreUp) action()           {}
 func (CutZone) action()           {}
+func (SplitZone) action()         {}
 func (JoinZone) action()          {}
 func (ReplaceHost) action()       {}
 func (DrainTarget) action()       {}
@@ -269,6 +276,15 @@
 			Length: 22 * time.Second, Load: baseLoad,
 			Steps: []Step{{4 * time.Second, CutZone{2}}, {16 * time.Second, JoinZone{}}},
 		},
+		{
+			Name: "zonesplit", About: "one zone is cut off from the platform and the other zones for 14 s and loses a target",
+			Length: 24 * time.Second, Load: baseLoad, Network: true,
+			Steps: []Step{
+				{3 * time.Second, SplitZone{0}},
+				{6 * time.Second, KillTarget{0}},
+				{17 * time.Second, JoinZone{}},
+			},
+		},
 		{
 			Name: "settingsrace", About: "ten operators write the same settings at once, three times",
 			Length: 15 * time.Second, Load: baseLoad, Settings: true,
--- /dev/null
+++ b/internal/standin/network_test.go
@@ -0,0 +1,65 @@
+package standin_test
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/standin"
+)
+
+// process is a UDP socket in a zone.
+type process struct {
+	*net.UDPConn
+	inside *net.UDPAddr
+}
+
+func newProcess(t *testing.T, network *standin.Network, zone place.Zone) process {
+	t.Helper()
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, conn.Close()) })
+	own := conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	inside, err := network.Add(netip.AddrPortFrom(own.Addr().Unmap(), own.Port()), zone)
+	assert.NilError(t, err)
+	return process{UDPConn: conn, inside: net.UDPAddrFromAddrPort(inside)}
+}
+
+// reaches reports whether a packet goes from one process to the other and an
+// answer comes back. A packet that was not dropped needs no time to wait for.
+func reaches(t *testing.T, from, to process, wait time.Duration) bool {
+	t.Helper()
+	_, err := from.WriteTo([]byte("ask"), to.inside)
+	assert.NilError(t, err)
+	packet := make([]byte, 16)
+	assert.NilError(t, to.SetReadDeadline(time.Now().Add(wait)))
+	_, sender, err := to.ReadFrom(packet)
+	if err != nil {
+		return false
+	}
+	_, err = to.WriteTo([]byte("answer"), sender)
+	assert.NilError(t, err)
+	assert.NilError(t, from.SetReadDeadline(time.Now().Add(wait)))
+	_, _, err = from.ReadFrom(packet)
+	return err == nil
+}
+
+func TestNetworkCutsZones(t *testing.T) {
+	network := standin.NewNetwork()
+	defer network.Close()
+	a1, a2 := newProcess(t, network, "zone-a"), newProcess(t, network, "zone-a")
+	b1 := newProcess(t, network, "zone-b")
+	const long, short = 10 * time.Second, 50 * time.Millisecond
+	assert.Assert(t, reaches(t, a1, a2, long))
+	assert.Assert(t, reaches(t, a1, b1, long))
+	network.Cut("zone-b")
+	assert.Assert(t, reaches(t, a1, a2, long))
+	assert.Assert(t, !reaches(t, a1, b1, short))
+	assert.Assert(t, !reaches(t, b1, a1, short))
+	network.Cut()
+	assert.Assert(t, reaches(t, b1, a1, long))
+}
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -46,6 +46,7 @@
 serve_request() {
   case $1 in
     started)
+      SEEDS=$2
       "$BIN/citrontray-lab" preset --name "$PRESET" >"$RUN/settings.yaml" &&
         "$BIN/citrontray" apply -f "$RUN/settings.yaml" --platform "$PLATFORM" --reason "first settings" >>"$RUN/operators.log" 2>&1 &&
         start_all
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -2,7 +2,8 @@
 # Functions that start and stop the daemons of a deployment on loopback. A
 # process of the system starts no other, so scripts do. Sourced by bench.sh.
 #
-# Needs: BIN (binaries), RUN (directory of this run), PRESET, HOSTS (number).
+# Needs: BIN (binaries), RUN (directory of this run), PRESET, HOSTS (number),
+# SEEDS (peer addresses that the daemons start from).
 
 # STOP_SECONDS bounds the planned stop of one process.
 STOP_SECONDS=20
@@ -28,7 +29,6 @@
     done
     echo "$line" >>"$RUN/hosts"
   done
-  SEEDS=$(awk '{print $3}' "$RUN/hosts" | head -6 | paste -sd,)
 }
 
 # make_keys makes an authority of this run and a certificate for each process.
