--- a/internal/cell/doc.go
+++ b/internal/cell/doc.go
@@ -147,4 +147,6 @@
 	// ImbalancePercent is the busiest target's load over the mean that
 	// placement accepts, in percent above 100.
 	ImbalancePercent int
+	// WarmUp is the length of a new target's ramp; placement heeds it.
+	WarmUp time.Duration
 }
--- a/internal/lead/daemon.go
+++ b/internal/lead/daemon.go
@@ -78,6 +78,7 @@
 		runners: make(map[cell.ID]*runner),
 	}
 	d.link.Handle(peer.KindCell, d.handleCell)
+	d.link.Handle(peer.KindLoad, d.handleLoad)
 	d.link.Handle(peer.KindStatus, d.handleStatus)
 	return d
 }
@@ -166,6 +167,7 @@
 		Hold:             s.Hold,
 		MovesPerMinute:   s.MovesPerMinute,
 		ImbalancePercent: s.ImbalancePercent,
+		WarmUp:           s.WarmUp,
 	}
 }
 
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -8,6 +8,7 @@
 
 	"citrontray.example/citrontray/internal/cell"
 	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/placement"
 	"citrontray.example/citrontray/internal/spread"
 	"citrontray.example/citrontray/internal/table"
 )
@@ -34,7 +35,10 @@
 	id      cell.ID
 	core    *cell.Cell
 	log     *slog.Logger
+	cfg     cell.Config
 	events  chan cell.Event
+	reports chan placement.Report
+	placer  *placer
 	stopped chan struct{}
 	calls   sync.WaitGroup
 	peers   map[place.Host]place.HostRow
@@ -49,7 +53,10 @@
 		id:      cfg.ID,
 		core:    cell.New(cfg),
 		log:     d.log.With(slog.String("service", string(cfg.ID.Service))),
+		cfg:     cfg,
 		events:  make(chan cell.Event, eventBuffer),
+		reports: make(chan placement.Report, reportBuffer),
+		placer:  newPlacer(),
 		stopped: make(chan struct{}),
 		peers:   make(map[place.Host]place.HostRow),
 	}
@@ -73,10 +80,13 @@
 			return
 		case ev := <-r.events:
 			r.handle(ctx, ev)
+		case report := <-r.reports:
+			r.placer.loads.Add(time.Now(), report)
 		case <-tick.C:
 			now := time.Now()
 			r.apply(ctx, r.core.Tick(now))
 			r.show(now)
+			r.place(ctx, now)
 		}
 	}
 }
@@ -89,10 +99,23 @@
 	}
 }
 
+// place hands the core the moves that placement wants, while this host leads.
+func (r *runner) place(ctx context.Context, now time.Time) {
+	if !r.state.load().LeaseHeld {
+		return
+	}
+	if moves := r.placer.plan(now, r.cfg); len(moves) > 0 {
+		r.apply(ctx, r.core.Handle(now, cell.PlanSeen{Moves: moves}))
+	}
+}
+
 // handle gives one event to the core.
 func (r *runner) handle(ctx context.Context, ev cell.Event) {
-	if fleet, ok := ev.(cell.FleetSeen); ok {
-		r.learnPeers(fleet.Hosts)
+	switch e := ev.(type) {
+	case cell.FleetSeen:
+		r.learnPeers(e.Hosts)
+	case cell.ConfigSeen:
+		r.cfg = e.Config
 	}
 	r.apply(ctx, r.core.Handle(time.Now(), ev))
 }
@@ -173,6 +196,7 @@
 
 // publish puts the cell's routing table on the board of this process.
 func (r *runner) publish(t table.Table) {
+	r.placer.table = t
 	body, err := table.Encode(t)
 	if err != nil {
 		r.log.Error("Table not encoded.", slog.Any("error", err))
