--- a/internal/cell/custody.go
+++ b/internal/cell/custody.go
@@ -123,7 +123,7 @@
 func (c *Cell) cutSolo(d *draft, p PlannedMove) {
 	i := c.doc.rowOf(p.Shard)
 	known := slices.ContainsFunc(d.doc.Solos, func(s Solo) bool { return s.Hash == p.Solo })
-	if i < 0 || known || len(d.doc.Solos) >= maxSolos || p.Solo.Shard(c.cfg.Shards) != p.Shard {
+	if d.doc.NextSolo > lastSolo || i < 0 || known || len(d.doc.Solos) >= maxSolos || p.Solo.Shard(c.cfg.Shards) != p.Shard {
 		return
 	}
 	j := d.doc.rowOf(p.Shard)
@@ -133,8 +133,9 @@
 	}
 	parent := &d.doc.Rows[j]
 	parent.Epoch++
-	solo := Solo{Hash: p.Solo, Shard: max(d.doc.NextSolo, key.Shard(c.cfg.Shards)), Parent: p.Shard, Cut: parent.Epoch}
-	d.doc.NextSolo = solo.Shard + 1
+	shard, next := soloShard(d.doc.NextSolo, p.Shard, c.cfg.Shards)
+	solo := Solo{Hash: p.Solo, Shard: shard, Parent: p.Shard, Cut: parent.Epoch}
+	d.doc.NextSolo = next
 	d.doc.Solos = append(d.doc.Solos, solo)
 	d.insert(Row{Shard: solo.Shard, Epoch: parent.Epoch, Owner: r.Owner, Standby: r.Standby})
 	if p.To != "" {
@@ -142,5 +143,16 @@
 	}
 }
 
+// lastSolo leaves room for one more solo key at the highest shard count.
+const lastSolo key.Shard = 1 << 31
+
+// soloShard returns the number of a solo key and the next value of
+// Doc.NextSolo. The number ends in its parent's, so that two zones that cut
+// keys of one service never use the same one: entries merge their tables.
+func soloShard(next, parent key.Shard, shards key.ShardCount) (key.Shard, key.Shard) {
+	base := max(next, key.Shard(shards))
+	return base + parent, base + key.Shard(shards)
+}
+
 // maxSolos bounds the hot keys that are cut out of their shards at one time.
 const maxSolos = 512
--- a/internal/cell/doc.go
+++ b/internal/cell/doc.go
@@ -44,7 +44,8 @@
 	Targets []TargetDoc
 	Rows    []Row
 	Solos   []Solo
-	// NextSolo is the shard of the next solo key; numbers are never reused.
+	// NextSolo plus its parent's shard is the shard of the next solo key; no
+	// number is reused in the cell, and none is used by two cells.
 	NextSolo key.Shard
 	// Given lists the shards that custody took away and that nobody in this
 	// cell holds any more.
