Serve the operators' API over TLS from each host's lead process

The lead process has the store at hand; an entry has not. A host whose store is out still shows the settings that it has. Bearer credentials go out in the clear to loopback alone.

--- a/cmd/citrontray/script_test.go
+++ b/cmd/citrontray/script_test.go
@@ -13,12 +13,16 @@
 
 	"github.com/gorilla/mux"
 	"github.com/rogpeppe/go-internal/testscript"
+	"golang.org/x/sync/errgroup"
 
 	"citrontray.example/citrontray/internal/journal"
+	"citrontray.example/citrontray/internal/keys"
 	"citrontray.example/citrontray/internal/operator"
+	"citrontray.example/citrontray/internal/peer"
 	"citrontray.example/citrontray/internal/platform"
 	"citrontray.example/citrontray/internal/preset"
 	"citrontray.example/citrontray/internal/settings"
+	"citrontray.example/citrontray/internal/spread"
 	"citrontray.example/citrontray/internal/standin"
 	"citrontray.example/citrontray/internal/status"
 )
@@ -35,12 +39,35 @@
 		Dir:                 "testdata/script",
 		RequireExplicitExec: true,
 		Setup:               setUp,
-		Cmds:                map[string]func(*testscript.TestScript, bool, []string){"store": storeFaults},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"store": storeFaults,
+			"await": awaitSettings,
+		},
 	})
 }
 
-// storeKey finds the stand-in platform of a script.
-type storeKey struct{}
+// storeKey and boardKey find the stand-in platform and the host's board of a
+// script.
+type (
+	storeKey struct{}
+	boardKey struct{}
+)
+
+// awaitSettings is the script command that waits until the host has settings
+// from the store.
+func awaitSettings(ts *testscript.TestScript, _ bool, _ []string) {
+	board, ok := ts.Value(boardKey{}).(spread.Board)
+	if !ok {
+		ts.Fatalf("no board")
+	}
+	news := board.Subscribe(spread.Settings)
+	for {
+		if _, ok := board.Get(spread.Settings); ok {
+			return
+		}
+		<-news
+	}
+}
 
 // setUp starts a stand-in platform, an operators' API on it and one daemon's
 // status page for a script.
@@ -57,19 +84,19 @@
 		return err
 	}
 	router := mux.NewRouter()
-	operator.NewServer(operator.ServerConfig{
-		Store:     client(platformAddr),
-		Bootstrap: settings.HashCredential(bootstrap),
-		Log:       journal.Nop(),
-	}).Register(router)
 	router.Handle(status.Path, status.Handler(status.SourceFunc(report)))
-	api, err := serve(env, router)
+	pages, err := serve(env, router)
+	if err != nil {
+		return err
+	}
+	api, err := serveOperators(env, client(platformAddr))
 	if err != nil {
 		return err
 	}
 	env.Setenv("CITRONTRAY_OPERATORS", api)
 	env.Setenv("CITRONTRAY_CREDENTIAL", bootstrap)
-	env.Setenv("CITRONTRAY_HOSTS", api)
+	env.Setenv("CITRONTRAY_AUTHORITY", filepath.Join(env.WorkDir, "tls", keys.AuthorityFile))
+	env.Setenv("CITRONTRAY_HOSTS", pages)
 	env.Setenv("PLATFORM", platformAddr)
 	for _, name := range preset.All() {
 		p, err := preset.Get(name)
@@ -98,6 +125,40 @@
 	return revision, err
 }
 
+// serveOperators serves the operators' API as a host does: over TLS, with a
+// watcher that keeps the settings at hand.
+func serveOperators(env *testscript.Env, store platform.Store) (string, error) {
+	dir := filepath.Join(env.WorkDir, "tls")
+	now, loopback := time.Now(), netip.MustParseAddr("127.0.0.1")
+	if err := keys.MakeAuthority(now, dir); err != nil {
+		return "", err
+	}
+	if err := keys.MakeHost(now, dir, "entry-1", "a", []peer.Role{peer.RoleLead}, []netip.Addr{loopback}); err != nil {
+		return "", err
+	}
+	material, err := keys.Load(now, dir, "entry-1", peer.RoleLead)
+	if err != nil {
+		return "", err
+	}
+	board := spread.New()
+	env.Values[boardKey{}] = board
+	listener, err := operator.Listen(netip.AddrPortFrom(loopback, 0), material.OperatorTLS(), operator.NewServer(operator.ServerConfig{
+		Store: store, Board: board, Bootstrap: settings.HashCredential(bootstrap), Log: journal.Nop(),
+	}))
+	if err != nil {
+		return "", err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return listener.Run(ctx) })
+	group.Go(func() error { return spread.NewWatcher(store, board, journal.Nop()).Run(ctx) })
+	env.Defer(func() {
+		cancel()
+		_ = group.Wait()
+	})
+	return listener.Addr().String(), nil
+}
+
 // serve serves a handler on loopback until the script ends.
 func serve(env *testscript.Env, handler http.Handler) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/command/connection.go
+++ b/internal/command/connection.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"citrontray.example/citrontray/internal/finding"
+	"citrontray.example/citrontray/internal/keys"
 	"citrontray.example/citrontray/internal/operator"
 	"citrontray.example/citrontray/internal/platform"
 )
@@ -23,6 +24,7 @@
 // connection holds the flags that say whom to reach and how to answer.
 type connection struct {
 	operators, platform, hosts string
+	authority                  string
 	credential, output         string
 	timeout                    time.Duration
 
@@ -32,6 +34,7 @@
 func (c *connection) setFlags(f *flag.FlagSet) {
 	f.StringVar(&c.operators, "operators", "", "addresses of the operators' API of entry hosts, IP:PORT with commas between")
 	f.StringVar(&c.credential, "credential", "", "bearer credential for --operators; best set by the environment")
+	f.StringVar(&c.authority, "authority", "", "file with the authority's certificate, ca.pem, that the hosts' certificates come from")
 	f.StringVar(&c.platform, "platform", "", "addresses of the platform's service, to reach it directly instead of --operators")
 	f.StringVar(&c.hosts, "hosts", "", "admin addresses of the daemons, for status, explain and top")
 	f.StringVar(&c.output, "output", outputTable, "table or json")
@@ -53,6 +56,12 @@
 	if len(c.operatorAddrs) > 0 && c.credential == "" {
 		found.Add("--credential", "is required with --operators", "set CITRONTRAY_CREDENTIAL")
 	}
+	for _, addr := range c.operatorAddrs {
+		if c.authority == "" && !addr.Addr().IsLoopback() {
+			found.Add("--authority", "is required to reach "+addr.String(), "the credential would go out in the clear")
+			break
+		}
+	}
 	return found.Err()
 }
 
@@ -84,7 +93,7 @@
 // platform's service where only that is given.
 func (c *command) desk() (operator.Desk, error) {
 	if len(c.operatorAddrs) > 0 {
-		return operator.NewClient(c.operatorAddrs, c.credential, c.timeout), nil
+		return c.client()
 	}
 	if len(c.platformAddrs) == 0 {
 		return nil, inputf("--operators", "is required, or --platform to reach the store directly")
@@ -95,3 +104,16 @@
 	}
 	return operator.NewDirect(store, "direct:"+c.User), nil
 }
+
+// client returns a client of the operators' API.
+func (c *connection) client() (*operator.Client, error) {
+	config := operator.ClientConfig{Addrs: c.operatorAddrs, Credential: c.credential, Timeout: c.timeout}
+	if c.authority != "" {
+		pool, err := keys.Authority(c.authority)
+		if err != nil {
+			return nil, inputf("--authority", "%s", err.Error())
+		}
+		config.Authority = pool
+	}
+	return operator.NewClient(config), nil
+}
--- a/internal/command/program.go
+++ b/internal/command/program.go
@@ -22,6 +22,7 @@
 
 Say where to go once, in the environment:
   export CITRONTRAY_OPERATORS=10.0.0.1:7003,10.0.0.2:7003
+  export CITRONTRAY_AUTHORITY=/etc/citrontray/ca.pem
   export CITRONTRAY_CREDENTIAL=...
 
 First steps:
--- a/internal/command/read.go
+++ b/internal/command/read.go
@@ -17,6 +17,7 @@
 // wireSettings is the JSON of get.
 type wireSettings struct {
 	Revision uint64                    `json:"revision"`
+	Local    bool                      `json:"local"`
 	Settings map[string]map[string]any `json:"settings"`
 }
 
@@ -140,10 +141,14 @@
 		return fmt.Errorf("there is no setting at or below %s", path)
 	}
 	if c.output != outputJSON {
-		fmt.Fprintf(c.Out, "# revision %d\n%s", view.Number, settings.Format(items))
+		where := ""
+		if view.Local {
+			where = ", as one host has it; the store does not answer"
+		}
+		fmt.Fprintf(c.Out, "# revision %d%s\n%s", view.Number, where, settings.Format(items))
 		return nil
 	}
-	out := wireSettings{Revision: view.Number, Settings: make(map[string]map[string]any)}
+	out := wireSettings{Revision: view.Number, Local: view.Local, Settings: make(map[string]map[string]any)}
 	for _, item := range items {
 		fields := make(map[string]any)
 		for _, f := range item.Fields {
--- a/internal/keys/material.go
+++ b/internal/keys/material.go
@@ -148,6 +148,32 @@
 	}
 }
 
+// OperatorTLS returns the configuration of the operators' listener: it shows
+// the process's certificate and asks for none, as operators bring a bearer
+// credential. Each handshake uses the files as they are then.
+func (m *Material) OperatorTLS() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return &m.now.Load().certificate, nil
+		},
+	}
+}
+
+// Authority reads the certificates of an AuthorityFile, for programs that have
+// no certificate of their own.
+func Authority(path string) (*x509.CertPool, error) {
+	authorities, err := readCertificates(path)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	for _, authority := range authorities {
+		pool.AddCert(authority)
+	}
+	return pool, nil
+}
+
 // ServerTLS returns the configuration of a listener. Each handshake uses the
 // files as they are then, and none resumes an older session.
 func (m *Material) ServerTLS(protocol string) *tls.Config {
--- a/internal/lead/main.go
+++ b/internal/lead/main.go
@@ -19,6 +19,7 @@
 	"citrontray.example/citrontray/internal/journal"
 	"citrontray.example/citrontray/internal/keys"
 	"citrontray.example/citrontray/internal/metric"
+	"citrontray.example/citrontray/internal/operator"
 	"citrontray.example/citrontray/internal/option"
 	"citrontray.example/citrontray/internal/peer"
 	"citrontray.example/citrontray/internal/place"
@@ -38,6 +39,8 @@
 	Peer        netip.AddrPort
 	Peers       []netip.AddrPort
 	Admin       netip.AddrPort
+	Operator    netip.AddrPort
+	Bootstrap   [32]byte
 	Keys        string
 	Timing      cell.Timing
 	StopTimeout time.Duration
@@ -73,7 +76,7 @@
 // ReadOptions parses the flags; it returns all findings together.
 func ReadOptions(args []string, out io.Writer) (Options, error) {
 	var o Options
-	var platformAddrs, peerAddr, peerAddrs, adminAddr string
+	var platformAddrs, peerAddr, peerAddrs, adminAddr, operatorAddr, bootstrap string
 	set := option.New("citrontray-lead", "grants shards to targets and keeps who owns what; one runs on every entry host", out)
 	set.StringVar((*string)(&o.Host), "host", "", "name of this entry host")
 	set.StringVar((*string)(&o.Zone), "zone", "", "availability zone of this host")
@@ -82,6 +85,8 @@
 	set.StringVar(&peerAddr, "peer-address", "", "UDP address that other hosts reach this process at, IP:PORT")
 	set.StringVar(&peerAddrs, "peers", "", "peer addresses of lead processes to start from, IP:PORT[,IP:PORT]")
 	set.StringVar(&adminAddr, "admin-address", "127.0.0.1:9701", "address of /live, /ready, /metrics and /status")
+	set.StringVar(&operatorAddr, "operator-address", "", "address of the operators' API, IP:PORT; empty for none")
+	set.StringVar(&bootstrap, "operator-bootstrap", "", "hash of the credential that may write until the settings name an operator of the platform")
 	set.StringVar(&o.Keys, "keys", "", "directory with the authority's certificate and this host's key")
 	set.DurationVar(&o.StopTimeout, "stop-timeout", 5*time.Second, "longest time of a planned stop")
 	set.BoolVar(&o.LogJSON, "log-json", false, "write logs as JSON")
@@ -105,6 +110,10 @@
 	o.Peer = set.Address("peer-address", peerAddr)
 	o.Peers = set.Addresses("peers", peerAddrs)
 	o.Admin = set.Address("admin-address", adminAddr)
+	if operatorAddr != "" {
+		o.Operator = set.Address("operator-address", operatorAddr)
+	}
+	o.Bootstrap = operator.ParseBootstrap(bootstrap, &set.Findings)
 	o.Timing = timing
 	checkTiming(set, timing)
 	return o, set.Findings.Err()
@@ -162,12 +171,19 @@
 		fmt.Fprintf(errOut, "--admin-address: %v\n", err)
 		return option.ExitUsage
 	}
+	operators, err := operator.Listen(o.Operator, material.OperatorTLS(), operator.NewServer(operator.ServerConfig{
+		Store: store, Board: board, Bootstrap: o.Bootstrap, Log: journal.Part(log, "operator"),
+	}))
+	if err != nil {
+		fmt.Fprintf(errOut, "--operator-address: %v\n", err)
+		return option.ExitUsage
+	}
 	log.Info("Lead started.", slog.String("host", string(o.Host)), slog.String("zone", string(o.Zone)))
 	spreading := spread.NewNode(board, link, spread.Config{
 		Self: material.Self(), Seeds: o.Peers, Store: store, Log: log,
 	})
 	pages.SetReady(true)
-	if err := runAll(ctx, daemon, link, pages, spreading); err != nil {
+	if err := runAll(ctx, daemon, link, pages, spreading, operators); err != nil {
 		log.Error("Lead failed.", slog.Any("error", err))
 		return 1
 	}
@@ -182,11 +198,11 @@
 
 // runAll runs the parts until ctx ends or one fails. The link and the pages
 // outlive the daemon: its handover needs them.
-func runAll(ctx context.Context, daemon, link, pages, spreading part) error {
+func runAll(ctx context.Context, daemon part, others ...part) error {
 	outer, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, outer := errgroup.WithContext(outer)
-	for _, p := range []part{link, pages, spreading} {
+	for _, p := range others {
 		group.Go(func() error { return p.Run(outer) })
 	}
 	group.Go(func() error {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -19,16 +21,35 @@
 	"citrontray.example/citrontray/internal/settings"
 )
 
+// ClientConfig names the entry hosts and the operator.
+type ClientConfig struct {
+	// Addrs are tried in turn.
+	Addrs      []netip.AddrPort
+	Credential string
+	// Authority checks the hosts' certificates. Without it the calls are in
+	// the clear: for trials on one machine.
+	Authority *x509.CertPool
+	// Timeout bounds one call at one host.
+	Timeout time.Duration
+}
+
 // Client is a desk at the operators' API of any entry host.
 type Client struct {
-	addrs      []netip.AddrPort
-	credential string
-	client     http.Client
+	ClientConfig
+	scheme string
+	client http.Client
 }
 
-// NewClient returns a client that tries addrs in turn; timeout bounds a call.
-func NewClient(addrs []netip.AddrPort, credential string, timeout time.Duration) *Client {
-	return &Client{addrs: addrs, credential: credential, client: http.Client{Timeout: timeout}}
+// NewClient returns a client; it connects at the first call.
+func NewClient(config ClientConfig) *Client {
+	c := &Client{ClientConfig: config, scheme: "http://", client: http.Client{Timeout: config.Timeout}}
+	if config.Authority != nil {
+		c.scheme = "https://"
+		c.client.Transport = &http.Transport{
+			TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: config.Authority},
+		}
+	}
+	return c
 }
 
 // transportError is a call that got no answer of the API.
@@ -45,7 +66,7 @@
 
 // Read implements Desk.
 func (c *Client) Read(ctx context.Context) (View, error) {
-	for _, addr := range c.addrs {
+	for _, addr := range c.Addrs {
 		var out wireView
 		err := c.call(ctx, addr, http.MethodGet, nil, &out)
 		if err == nil {
@@ -73,7 +94,7 @@
 		return Outcome{}, err
 	}
 	doubt := false
-	for _, addr := range c.addrs {
+	for _, addr := range c.Addrs {
 		var out wireOutcome
 		err := c.call(ctx, addr, http.MethodPost, body, &out)
 		if err == nil {
@@ -119,11 +140,11 @@
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }}
 	ctx = httptrace.WithClientTrace(ctx, trace)
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+addr.String()+pathSettings, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, c.scheme+addr.String()+pathSettings, bytes.NewReader(body))
 	if err != nil {
 		return &transportError{err: err}
 	}
-	request.Header.Set("Authorization", "Bearer "+c.credential)
+	request.Header.Set("Authorization", "Bearer "+c.Credential)
 	request.Header.Set("Content-Type", "application/json")
 	response, err := c.client.Do(request)
 	if err != nil {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -13,6 +13,9 @@
 
 // View is what an operator sees of the settings in force.
 type View struct {
+	// Local tells that the store did not answer: the view is what one host
+	// has in force.
+	Local    bool
 	Revision platform.Revision
 	Number   uint64
 	Items    []settings.Item
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -14,6 +14,7 @@
 
 	"citrontray.example/citrontray/internal/platform"
 	"citrontray.example/citrontray/internal/settings"
+	"citrontray.example/citrontray/internal/spread"
 )
 
 // writeTimeout bounds how long a write waits for a lost answer to be resolved.
@@ -25,8 +26,8 @@
 // ServerConfig sets up a Server.
 type ServerConfig struct {
 	Store platform.Store
-	// Applied is read where the store is out; it may be nil.
-	Applied *settings.Applied
+	// Board gives the settings where the store is out; it may be nil.
+	Board spread.Board
 	// Bootstrap is the hash of the credential that may write everything for
 	// as long as the settings hold no delegation below platform. Zero: none.
 	Bootstrap [32]byte
@@ -53,7 +54,8 @@
 // read answers with what the bearer may see.
 func (s *Server) read(w http.ResponseWriter, r *http.Request) {
 	current, err := s.committer.Load(r.Context())
-	if err != nil {
+	local := err != nil
+	if local {
 		if current = s.local(); current == nil {
 			answerError(w, err)
 			return
@@ -64,15 +66,27 @@
 		answerError(w, err)
 		return
 	}
-	answer(w, http.StatusOK, toWireView(visible(viewOf(current), who)))
+	view := visible(viewOf(current), who)
+	view.Local = local
+	answer(w, http.StatusOK, toWireView(view))
 }
 
-// local returns the settings in force in this process, or nil.
+// local returns the settings as this process has them from the watchers and
+// its peers, or nil.
 func (s *Server) local() *settings.Settings {
-	if s.config.Applied == nil {
+	if s.config.Board == nil {
+		return nil
+	}
+	doc, ok := s.config.Board.Get(spread.Settings)
+	if !ok {
+		return nil
+	}
+	local, err := settings.Decode(doc.Body)
+	if err != nil {
 		return nil
 	}
-	return s.config.Applied.Current()
+	local.Revision = platform.Revision(doc.Version.Major)
+	return local
 }
 
 // write commits one order in the bearer's name.
--- a/internal/operator/wire.go
+++ b/internal/operator/wire.go
@@ -17,6 +17,7 @@
 const maxBodyBytes = 8 << 20
 
 type wireView struct {
+	Local    bool        `json:"local,omitempty"`
 	Revision uint64      `json:"revision"`
 	Number   uint64      `json:"number"`
 	File     string      `json:"file"`
@@ -81,7 +82,7 @@
 }
 
 func toWireView(v View) wireView {
-	w := wireView{Revision: uint64(v.Revision), Number: v.Number, File: settings.Format(v.Items)}
+	w := wireView{Local: v.Local, Revision: uint64(v.Revision), Number: v.Number, File: settings.Format(v.Items)}
 	for _, h := range v.History {
 		w.History = append(w.History, wireWrite(h))
 	}
@@ -93,7 +94,7 @@
 	if err != nil {
 		return View{}, err
 	}
-	v := View{Revision: platform.Revision(w.Revision), Number: w.Number}
+	v := View{Local: w.Local, Revision: platform.Revision(w.Revision), Number: w.Number}
 	for _, c := range changes {
 		v.Items = append(v.Items, c.Item)
 	}
--- a/internal/settings/value.go
+++ b/internal/settings/value.go
@@ -53,6 +53,17 @@
 	return access[R]{read: read, show: show}
 }
 
+// ParseHash reads what HashText writes.
+func ParseHash(s string) (hash [32]byte, err error) {
+	sum, ok := strings.CutPrefix(s, hashPrefix)
+	raw, err := hex.DecodeString(sum)
+	if !ok || err != nil || len(raw) != len(hash) {
+		return hash, errors.New("is not sha256: and 64 hexadecimal digits; never write the credential itself")
+	}
+	copy(hash[:], raw)
+	return hash, nil
+}
+
 // access reads a field of R from text and shows it as text.
 type access[R any] struct {
 	read func(row *R, values []string) error
@@ -162,13 +173,9 @@
 // hash makes a field of a credential's hash.
 func hash[R any](at func(*R) *[32]byte) access[R] {
 	read := func(row *R, values []string) error {
-		sum, ok := strings.CutPrefix(values[0], hashPrefix)
-		raw, err := hex.DecodeString(sum)
-		if !ok || err != nil || len(raw) != len(at(row)) {
-			return errors.New("is not sha256: and 64 hexadecimal digits; never write the credential itself")
-		}
-		copy(at(row)[:], raw)
-		return nil
+		sum, err := ParseHash(values[0])
+		*at(row) = sum
+		return err
 	}
 	show := func(row *R) []string { return []string{HashText(*at(row))} }
 	return access[R]{read: read, show: show}
