--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -69,7 +69,6 @@
 	mates     []mate
 	targets   []targetState
 	rows      []rowState
-	intents   []Intent // of the lead, as a follower heard them
 
 	heartbeatDue time.Time
 	maintainDue  time.Time
@@ -79,6 +78,7 @@
 	custody     CustodySeen
 	custodySeen bool
 	lost        []Lost
+	lostSince   map[place.Host]time.Time
 	drains      []place.Target
 	plan        []PlannedMove
 	planStarts  []time.Time
@@ -102,6 +102,8 @@
 	pending  bool
 	// contact is when the newest call that reached the store was sent.
 	contact time.Time
+	// held is when the newest call that took or renewed the lease was sent.
+	held time.Time
 	// lastFailed is when a call last came back without reaching the store.
 	lastFailed time.Time
 }
@@ -110,7 +112,7 @@
 type knobs struct {
 	extendGrants, noInventory, manyUnaccounted, lonely        bool
 	lapseFromAnchor, sharedPromises, noSilence, standbyUnread bool
-	noIntents, deputyIntents, forgetRemoved, noParentCheck    bool
+	forgetRemoved, noParentCheck                              bool
 	assumeLost, leaseFromAnswer, leaseUnverified              bool
 }
 
@@ -183,7 +185,7 @@
 	case PlanSeen:
 		c.takePlan(ev)
 	case LostSeen:
-		c.lost = ev.Lost
+		c.takeLost(ev.Lost)
 	case DrainSeen:
 		c.drains = ev.Targets
 	case ConfigSeen:
@@ -255,7 +257,6 @@
 	maxRoster    = 4
 	maxRemoved   = 16
 	releaseBatch = 64
-	maxIntents   = 1024
 )
 
 // Pacing of work that no timer of Timing names.
--- a/internal/cell/network_test.go
+++ b/internal/cell/network_test.go
@@ -116,6 +116,9 @@
 	if next.Term > w.doc.Term {
 		w.stats.terms++
 	}
+	if !slices.Equal(next.Roster, w.doc.Roster) {
+		w.stats.rosters++
+	}
 	for _, r := range next.Rows {
 		if i := w.doc.rowOf(r.Shard); i >= 0 && w.doc.Rows[i].Owner != r.Owner {
 			w.stats.moves++
@@ -243,6 +246,9 @@
 		o.Anchor = now
 	}
 	a := t.holds.Apply(now, o)
+	if w.termless {
+		a.Term = 0
+	}
 	w.checkTarget(t, o)
 	answer(a)
 }
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -30,7 +30,6 @@
 	incarnation place.Incarnation
 	readStore   bool
 	revision    platform.Revision
-	intents     []Intent
 	// sent holds when the last heartbeats were sent, the newest at position
 	// next-1. A promise names one of them; its own text of the time has lost
 	// the monotonic reading.
@@ -54,10 +53,10 @@
 // forget drops what was promised to an earlier term.
 func (m *mate) forget() {
 	m.until, m.since = time.Time{}, time.Time{}
-	m.intents = nil
 }
 
-// alignMates lists the roster and the hosts that should join it.
+// alignMates lists the roster, the hosts that should join it, and those that
+// left it and have not heard so.
 func (c *Cell) alignMates() {
 	old := c.mates
 	c.mates = nil
@@ -69,6 +68,11 @@
 			c.addMate(old, h, false)
 		}
 	}
+	for _, r := range c.doc.Removed {
+		if c.mate(r.Host) == nil {
+			c.addMate(old, r.Host, false)
+		}
+	}
 }
 
 func (c *Cell) addMate(old []mate, host place.Host, member bool) {
@@ -108,7 +112,7 @@
 		m := &c.mates[i]
 		hb := Heartbeat{
 			Term: c.doc.Term, SentAt: c.now, Deputy: c.role == deputy,
-			Revision: c.revision, Intents: c.pendingIntents(),
+			Revision: c.revision,
 		}
 		if m.incarnation != 0 && m.revision < c.revision {
 			doc := c.doc.clone()
@@ -149,12 +153,11 @@
 	}
 	if !hb.Deputy {
 		c.promise.heard, c.promise.heardLead = c.now, true
-		c.intents = slices.Clone(hb.Intents)
 	}
 	c.promise.to, c.promise.until = from, c.now.Add(c.cfg.Timing.Promise)
 	c.emit(SendPeer{To: from, Message: Promise{
 		Term: hb.Term, SentAt: hb.SentAt, Incarnation: c.cfg.Incarnation,
-		ReadStore: c.readStore, Intents: hb.Intents, Revision: c.revision,
+		ReadStore: c.readStore, Revision: c.revision,
 	}})
 }
 
@@ -191,7 +194,6 @@
 	}
 	m.until = latest(m.until, sent.Add(c.shorter(c.cfg.Timing.Promise)))
 	m.incarnation, m.readStore, m.revision = p.Incarnation, p.ReadStore, p.Revision
-	m.intents = p.Intents
 }
 
 // takeHandover frees this host to take the lead at once.
@@ -231,10 +233,11 @@
 	return c.leading() && members == 0 && !c.write.pending
 }
 
-// overHold reports whether the store has been out of reach for longer than
-// the service allows.
+// overHold reports whether this host has been without the lease for longer
+// than the service allows. Contact alone does not count: another zone that
+// waits for the hold to pass has taken the lease, and counts from there.
 func (c *Cell) overHold() bool {
-	return c.cfg.Hold > 0 && c.now.After(c.lease.contact.Add(c.shorter(c.cfg.Hold)))
+	return c.cfg.Hold > 0 && c.now.After(c.lease.held.Add(c.shorter(c.cfg.Hold)))
 }
 
 // allPromised reports whether every roster host promises to this one and has
@@ -288,6 +291,9 @@
 				from = latest(from, m.since)
 			}
 		}
+		for _, since := range c.lostSince {
+			from = latest(from, since)
+		}
 	}
 	return from.Add(c.longer(c.cfg.Timing.Grant))
 }
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -20,6 +20,10 @@
 	routes   *route.Table
 	services map[key.Service]*service
 	tables   []*table.Table
+	hosts    []place.HostRow
+	// keyHomes gives the home of each part of a key space, as an index into
+	// hosts.
+	keyHomes []int
 	// replaced is closed once a newer view is in force.
 	replaced chan struct{}
 }
@@ -68,6 +72,10 @@
 		return
 	}
 	v.tables = e.readTables()
+	v.hosts, v.keyHomes = e.fleetHosts(), old.keyHomes
+	if !slices.Equal(v.hosts, old.hosts) {
+		v.keyHomes = rankKeyHomes(v.hosts)
+	}
 	for _, t := range v.tables {
 		e.mergeTable(v, t, now)
 	}
@@ -141,6 +149,8 @@
 	lanes := make([]*lane, len(t.Targets))
 	for i := range t.Targets {
 		lanes[i] = e.laneOf(t, &t.Targets[i], cfg, now)
+		homes := rankHomes(v.hosts, t.Zone, t.Targets[i].Target)
+		lanes[i].homes.Store(&homes)
 	}
 	for _, row := range t.Rows {
 		s.add(row, lanes)
