A watcher on an empty store sees the first write

It watched from revision 1 where the store was at 0, so that the first write of all stayed unseen until the next: operators' first settings were accepted and in force nowhere. The new test fails on the former code.

--- a/cmd/citrontray/script_test.go
+++ b/cmd/citrontray/script_test.go
@@ -30,6 +30,9 @@
 // bootstrap is the first operator's credential in the scripts.
 const bootstrap = "first-credential"
 
+// awaitBound ends a script that waits in vain.
+const awaitBound = 30 * time.Second
+
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){"citrontray": main})
 }
@@ -65,7 +68,11 @@
 		if _, ok := board.Get(spread.Settings); ok {
 			return
 		}
-		<-news
+		select {
+		case <-news:
+		case <-time.After(awaitBound):
+			ts.Fatalf("the host has no settings from the store")
+		}
 	}
 }
 
--- a/internal/spread/watcher.go
+++ b/internal/spread/watcher.go
@@ -68,23 +68,25 @@
 // loopFeed reads the feed once, then waits for its changes.
 func (w *Watcher) loopFeed(ctx context.Context, f feed) error {
 	var from platform.Revision
-	failures := 0
+	failures, started := 0, false
 	for ctx.Err() == nil {
-		next, err := w.step(ctx, f, from)
+		next, err := w.step(ctx, f, from, started)
 		if err != nil {
 			w.log.Debug("Store not read.", slog.String("prefix", string(f.prefix)), slog.Any("error", err))
 			sleep(ctx, storeWait(failures))
 			failures++
 			continue
 		}
-		failures = 0
+		failures, started = 0, true
 		from = next
 	}
 	return nil
 }
 
-func (w *Watcher) step(ctx context.Context, f feed, from platform.Revision) (platform.Revision, error) {
-	if from == 0 {
+// step reads the feed at the start, later it waits for a change after from. An
+// empty store is at revision 0, so that its first write, at 1, is a change.
+func (w *Watcher) step(ctx context.Context, f feed, from platform.Revision, started bool) (platform.Revision, error) {
+	if !started {
 		return w.readAll(ctx, f)
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
@@ -112,7 +114,7 @@
 	for _, entry := range entries {
 		w.publish(f, entry)
 	}
-	return max(revision, 1), nil
+	return revision, nil
 }
 
 // publish offers one revision; the board refuses an older one.
