Status tells since when settings are in force on a lead

Cause: the column SINCE of citrontray status was empty. Before: a dash for every lead. After: the time at which this process decoded that revision. Conclusion: taken where the view is made, once a version.

--- a/internal/lead/library.go
+++ b/internal/lead/library.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"sync"
+	"time"
 
 	"citrontray.example/citrontray/internal/custody"
 	"citrontray.example/citrontray/internal/key"
@@ -39,7 +40,7 @@
 	defer l.mu.Unlock()
 	for _, doc := range l.unseen() {
 		l.seen[doc.Name] = doc.Version
-		next, err := l.view.with(doc)
+		next, err := l.view.with(time.Now(), doc)
 		if err != nil {
 			// The cells keep what they were last told.
 			l.log.Error("Document not readable.", slog.String("name", string(doc.Name)), slog.Any("error", err))
@@ -69,7 +70,7 @@
 }
 
 // with returns a copy of the view that reflects the document as well.
-func (v *view) with(doc spread.Document) (*view, error) {
+func (v *view) with(now time.Time, doc spread.Document) (*view, error) {
 	next := *v
 	switch doc.Name {
 	case spread.Settings:
@@ -79,6 +80,7 @@
 		}
 		decoded.Revision = platform.Revision(doc.Version.Major)
 		next.settings = decoded
+		next.settingsSince = now
 	case spread.Fleet:
 		fleet, err := spread.DecodeFleet(doc.Body)
 		if err != nil {
--- a/internal/lead/status.go
+++ b/internal/lead/status.go
@@ -190,5 +190,9 @@
 	if v.settings == nil {
 		return status.Settings{}
 	}
-	return status.Settings{Number: v.settings.Number, Revision: uint64(v.settings.Revision)}
+	return status.Settings{
+		Number:   v.settings.Number,
+		Revision: uint64(v.settings.Revision),
+		Since:    v.settingsSince,
+	}
 }
--- a/internal/lead/view.go
+++ b/internal/lead/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"citrontray.example/citrontray/internal/cell"
 	"citrontray.example/citrontray/internal/custody"
@@ -17,8 +18,10 @@
 // pure; every lead that has the same documents derives the same events.
 type view struct {
 	settings *settings.Settings
-	fleet    platform.Fleet
-	custody  map[key.Service]custodyDoc
+	// settingsSince is when these settings came into force here.
+	settingsSince time.Time
+	fleet         platform.Fleet
+	custody       map[key.Service]custodyDoc
 }
 
 // custodyDoc is a custody document with its revision in the store.
