--- /dev/null
+++ b/internal/spread/followers_bench_test.go
@@ -0,0 +1,165 @@
+package spread_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"citrontray.example/citrontray/internal/keys"
+	"citrontray.example/citrontray/internal/peer"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/platform"
+	"citrontray.example/citrontray/internal/spread"
+)
+
+// countedConn counts the bytes that pass a socket.
+type countedConn struct {
+	net.PacketConn
+
+	bytes atomic.Int64
+}
+
+func (c *countedConn) ReadFrom(p []byte) (int, net.Addr, error) {
+	n, addr, err := c.PacketConn.ReadFrom(p)
+	c.bytes.Add(int64(n))
+	return n, addr, err
+}
+
+func (c *countedConn) WriteTo(p []byte, addr net.Addr) (int, error) {
+	n, err := c.PacketConn.WriteTo(p, addr)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// countedLink counts the calls that a process makes.
+type countedLink struct {
+	*peer.Peer
+
+	calls atomic.Int64
+}
+
+func (l *countedLink) Call(ctx context.Context, to netip.AddrPort, kind peer.Kind, body []byte) ([]byte, error) {
+	l.calls.Add(1)
+	return l.Peer.Call(ctx, to, kind, body)
+}
+
+// zone is one availability zone of lead processes over real sockets.
+type zone struct {
+	boards []*spread.Memory
+	conns  []*countedConn
+	links  []*countedLink
+}
+
+func startZone(b *testing.B, hosts int) *zone {
+	b.Helper()
+	dir := b.TempDir()
+	must(b, keys.MakeAuthority(time.Now(), dir))
+	z := &zone{}
+	var fleet platform.Fleet
+	for i := range hosts {
+		conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+		must(b, err)
+		z.conns = append(z.conns, &countedConn{PacketConn: conn})
+		fleet.Hosts = append(fleet.Hosts, place.HostRow{
+			Host: place.Host(fmt.Sprintf("h%03d", i)), Zone: "z1", Lead: conn.LocalAddr().(*net.UDPAddr).AddrPort(),
+		})
+	}
+	body, err := spread.EncodeFleet(fleet)
+	must(b, err)
+	ctx, cancel := context.WithCancel(b.Context())
+	var work sync.WaitGroup
+	b.Cleanup(func() {
+		cancel()
+		work.Wait()
+	})
+	for i, row := range fleet.Hosts {
+		must(b, keys.MakeHost(time.Now(), dir, row.Host, row.Zone, []peer.Role{peer.RoleLead}, []netip.Addr{row.Lead.Addr()}))
+		m, err := keys.Load(time.Now(), dir, row.Host, peer.RoleLead)
+		must(b, err)
+		p, err := peer.New(peer.Config{Conn: z.conns[i], Keys: m})
+		must(b, err)
+		link, board := &countedLink{Peer: p}, spread.New()
+		board.Publish(spread.Document{Name: spread.Fleet, Version: spread.Version{Major: 1}, Body: body})
+		node := spread.NewNode(board, link, spread.Config{Self: m.Self(), Addr: row.Lead})
+		z.links, z.boards = append(z.links, link), append(z.boards, board)
+		work.Go(func() { _ = p.Run(ctx) })
+		work.Go(func() { _ = node.Run(ctx) })
+	}
+	return z
+}
+
+func must(b *testing.B, err error) {
+	b.Helper()
+	if err != nil {
+		b.Fatal(err)
+	}
+}
+
+func (z *zone) totals() (calls, bytes int64) {
+	for i := range z.links {
+		calls += z.links[i].calls.Load()
+		bytes += z.conns[i].bytes.Load()
+	}
+	return calls, bytes
+}
+
+// await waits until all boards have a version of a document.
+func (z *zone) await(name spread.Name, version spread.Version) {
+	for _, board := range z.boards {
+		for {
+			if doc, ok := board.Get(name); ok && !doc.Version.Less(version) {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+func cpuTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	must(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkFollowers measures what a follower costs, its share of the two
+// watchers included, with one new version of a table of about 4 kB a second.
+// One operation is one second.
+func BenchmarkFollowers(b *testing.B) {
+	for _, hosts := range []int{8, 32, 128} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			z := startZone(b, hosts)
+			name := spread.TablePrefix + "balance/z1"
+			body := func(i uint64) []byte { return fmt.Appendf(nil, "%04096d %d", i*7919, i) }
+			publish := func(i uint64) {
+				z.boards[0].Publish(spread.Document{Name: name, Version: spread.Version{Major: i}, Body: body(i)})
+				z.await(name, spread.Version{Major: i})
+			}
+			publish(1)
+			time.Sleep(2 * time.Second)
+			calls, bytes := z.totals()
+			cpu, start, version := cpuTime(b), time.Now(), uint64(1)
+			var delay time.Duration
+			for b.Loop() {
+				version++
+				sent := time.Now()
+				publish(version)
+				delay = max(delay, time.Since(sent))
+				time.Sleep(time.Second - time.Since(sent))
+			}
+			spent, span := cpuTime(b)-cpu, time.Since(start).Seconds()
+			calls2, bytes2 := z.totals()
+			per := func(x float64) float64 { return x / span / float64(hosts) }
+			b.ReportMetric(per(float64(calls2-calls)), "calls/s/host")
+			b.ReportMetric(per(float64(bytes2-bytes)), "B/s/host")
+			b.ReportMetric(per(spent.Seconds())*100, "cpu_%/host")
+			b.ReportMetric(float64(delay.Microseconds())/1000, "slowest_ms")
+		})
+	}
+}
