--- a/internal/placement/loads.go
+++ b/internal/placement/loads.go
@@ -82,7 +82,7 @@
 		l.dropFaintHot(now)
 	}
 	if now.Sub(l.swept) >= sweepInterval {
-		l.sweep(now)
+		l.Sweep(now)
 	}
 }
 
@@ -160,8 +160,8 @@
 	return out
 }
 
-// sweep drops what has faded.
-func (l *Loads) sweep(now time.Time) {
+// Sweep drops what has faded; Add calls it now and then.
+func (l *Loads) Sweep(now time.Time) {
 	l.swept = now
 	for shard, row := range l.shards {
 		if row.faint(now) {
