Entries report to citrontray status; a solo key goes with its shard

Cause: an entry's status page had a form of its own, so status and top showed a row without a name; and a solo key in the last table of a zone that was cut off would have kept its requests there after its shard was taken away. Before: HOST empty and settings 'old' for each entry; the added test of the solo key found the lost zone's shard. Conclusion: found by reading the merge of tables after the doubled solo numbers.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,8 +30,9 @@
 	Board          spread.Board
 	DecodeSettings func([]byte) (*settings.Settings, error)
 	DecodeTable    func([]byte) (table.Table, error)
-	// Host is this entry host.
+	// Host and Zone name this entry host.
 	Host place.Host
+	Zone place.Zone
 	// Sharing is how entry hosts share the slots of a target.
 	Sharing Sharing
 	// Link carries load reports to leads and requests to homes; without it
@@ -68,6 +69,8 @@
 	cfg     Config
 	log     *slog.Logger
 	metrics *metrics
+	meters  *meters
+	started time.Time
 	ids     *ids
 	joins   *joins
 	load    *load
@@ -79,6 +82,7 @@
 	// refreshing guards what refresh alone changes.
 	refreshing      sync.Mutex
 	settingsVersion spread.Version
+	settingsSince   time.Time
 	tableCache      map[spread.Name]cachedTable
 	lanes           map[laneID]*lane
 
@@ -102,6 +106,8 @@
 		cfg:        cfg,
 		log:        cfg.Log,
 		metrics:    newMetrics(cfg.Registry),
+		meters:     newMeters(),
+		started:    time.Now(),
 		ids:        newIDs(),
 		joins:      newJoins(),
 		load:       newLoad(),
--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -55,6 +55,7 @@
 	warmUp  time.Duration
 	running int
 	serving serviceTime
+	meter   *meter
 	// down counts failed connects in a row; until resume nothing is sent.
 	down   int
 	resume time.Time
@@ -86,6 +87,7 @@
 func newLane(e *Entry, zone place.Zone, row *table.Target, cfg *settings.Service) *lane {
 	limit := max(cfg.Connections/max(e.cfg.Hosts, 1), cfg.Slots, 1)
 	l := &lane{
+		meter:   newMeter(),
 		entry:   e,
 		service: cfg.Name,
 		target:  row.Target,
@@ -241,6 +243,7 @@
 	l.running--
 	switch r := r.(type) {
 	case forward.Answered:
+		l.meter.ended(now, took, false)
 		l.succeed(took)
 	case forward.Refused:
 		l.down = 0
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -193,6 +193,7 @@
 	return Config{
 		Board:          board,
 		Host:           d.opts.Host,
+		Zone:           d.opts.Zone,
 		Sharing:        ShareMixed,
 		Link:           d.link,
 		DecodeSettings: settings.Decode,
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -42,7 +42,10 @@
 		return
 	}
 	result := e.admit(w, r, m, start)
-	e.metrics.ended(m, result, time.Since(start))
+	took := time.Since(start)
+	e.metrics.ended(m, result, took)
+	refused := outcome.Of(result) == outcome.NotRun
+	e.meters.ended(start.Add(took), meterID{m.Caller.Name, m.Route.Class}, took, refused)
 	outcome.Write(w, result)
 }
 
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -1,67 +1,86 @@
 package entry
 
 import (
-	"encoding/json"
+	"cmp"
 	"net/http"
 	"slices"
-	"strings"
-)
+	"time"
 
-// The status page, as operators read it.
-type (
-	wireStatus struct {
-		Ready    bool         `json:"ready"`
-		Revision uint64       `json:"revision"`
-		Parked   int64        `json:"parked"`
-		Tables   []wireTable  `json:"tables"`
-		Targets  []wireTarget `json:"targets"`
-	}
-	wireTable struct {
-		Service  string `json:"service"`
-		Zone     string `json:"zone"`
-		Term     uint64 `json:"term"`
-		Sequence uint64 `json:"sequence"`
-	}
-	wireTarget struct {
-		Service     string  `json:"service"`
-		Target      string  `json:"target"`
-		Waiting     int     `json:"waiting"`
-		Running     int     `json:"running"`
-		Limit       float64 `json:"limit"`
-		Connections int     `json:"connections"`
-		Failures    int     `json:"failures"`
-		ServiceMS   float64 `json:"service_ms"`
-	}
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/peer"
+	"citrontray.example/citrontray/internal/status"
+	"citrontray.example/citrontray/internal/version"
 )
 
-// StatusHandler serves what this entry knows of settings, tables and targets.
-func (e *Entry) StatusHandler() http.Handler { return http.HandlerFunc(e.serveStatus) }
+// StatusHandler serves what this entry knows of settings, targets and callers.
+func (e *Entry) StatusHandler() http.Handler { return status.Handler(e) }
 
-func (e *Entry) serveStatus(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(e.status())
+// Report implements status.Source.
+func (e *Entry) Report(now time.Time, q status.Query) status.Report {
+	out := status.Report{
+		Host: string(e.cfg.Host), Zone: string(e.cfg.Zone), Role: string(peer.RoleEntry),
+		Version: version.String(), Started: e.started, Ready: e.Ready(),
+		Settings: e.inForce(),
+		Targets:  e.targets(now),
+		Callers:  e.meters.callers(now),
+	}
+	if q.Asked() {
+		out.Key = e.explain(q)
+	}
+	return out
 }
 
-func (e *Entry) status() wireStatus {
+// inForce tells which settings this entry acts on.
+func (e *Entry) inForce() status.Settings {
 	e.refreshing.Lock()
 	defer e.refreshing.Unlock()
-	out := wireStatus{Ready: e.Ready(), Revision: e.settingsVersion.Major, Parked: e.parked.now.Load()}
-	for _, t := range e.view.Load().tables {
-		out.Tables = append(out.Tables, wireTable{string(t.Service), string(t.Zone), uint64(t.Version.Term), t.Version.Sequence})
+	out := status.Settings{Revision: e.settingsVersion.Major, Since: e.settingsSince}
+	if s := e.view.Load().settings; s != nil {
+		out.Number = s.Number
 	}
+	return out
+}
+
+// targets returns the work that this entry sent to each target.
+func (e *Entry) targets(now time.Time) []status.Target {
+	e.refreshing.Lock()
+	defer e.refreshing.Unlock()
+	out := make([]status.Target, 0, len(e.lanes))
 	for _, l := range e.lanes {
-		out.Targets = append(out.Targets, l.status())
+		out = append(out, l.status(now))
 	}
-	slices.SortFunc(out.Targets, func(a, b wireTarget) int { return strings.Compare(a.Target, b.Target) })
+	slices.SortFunc(out, func(a, b status.Target) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Target, b.Target))
+	})
 	return out
 }
 
-func (l *lane) status() wireTarget {
+// status returns the work of one lane.
+func (l *lane) status(now time.Time) status.Target {
+	f := l.meter.figures(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return wireTarget{
+	return status.Target{
 		Service: string(l.service), Target: string(l.target),
-		Waiting: l.queue.Len(), Running: l.running, Limit: l.limiter.limit,
-		Connections: l.pool.Open(), Failures: l.down, ServiceMS: float64(l.serving.mean.Microseconds()) / 1000,
+		PerSecond: f.perSecond, Waiting: l.queue.Len(), Running: l.running, P99: f.p99,
 	}
 }
+
+// explain tells where this entry sends a key.
+func (e *Entry) explain(q status.Query) *status.Key {
+	s := e.view.Load().services[q.Service]
+	if s == nil {
+		return nil
+	}
+	shard, o := s.find(key.HashOf(q.Key))
+	out := &status.Key{
+		Service: string(q.Service), Key: q.Key, Shard: uint32(shard),
+		Solo: shard >= key.Shard(s.shards), Epoch: uint64(o.epoch),
+	}
+	if o.lane == nil {
+		out.Why = "no table names an owner"
+		return out
+	}
+	out.Zone, out.Owner = string(o.lane.zone), string(o.lane.target)
+	return out
+}
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -34,6 +34,7 @@
 	rows   map[key.Shard]owner // solo shards included
 	dense  []owner             // hash-range shards, by index
 	solos  map[key.Hash]key.Shard
+	origin []*table.Table // whose row stands in dense, by index
 	load   *serviceLoad
 }
 
@@ -79,6 +80,11 @@
 	for _, t := range v.tables {
 		e.mergeTable(v, t, now)
 	}
+	for _, t := range v.tables {
+		if s := v.services[t.Service]; s != nil {
+			s.addSolos(t)
+		}
+	}
 	e.view.Store(v)
 	close(old.replaced)
 	e.sweepLanes(v)
@@ -100,6 +106,7 @@
 		return v.settings != nil
 	}
 	e.settingsVersion = doc.Version
+	e.settingsSince = time.Now()
 	v.settings = s
 	v.routes = route.New(s)
 	e.resetLimits(s)
@@ -153,10 +160,7 @@
 		lanes[i].homes.Store(&homes)
 	}
 	for _, row := range t.Rows {
-		s.add(row, lanes)
-	}
-	for _, solo := range t.Solos {
-		s.solos[solo.Hash] = solo.Shard
+		s.add(row, lanes, t)
 	}
 }
 
@@ -166,11 +170,13 @@
 		rows:   make(map[key.Shard]owner),
 		dense:  make([]owner, t.Shards),
 		solos:  make(map[key.Hash]key.Shard),
+		origin: make([]*table.Table, t.Shards),
 		load:   e.load.service(t.Service, t.Shards),
 	}
 }
 
-func (s *service) add(row table.Row, lanes []*lane) {
+// add takes one row of a table, unless a row of a higher epoch is known.
+func (s *service) add(row table.Row, lanes []*lane, t *table.Table) {
 	o := owner{epoch: row.Epoch}
 	if int(row.Owner) < len(lanes) {
 		o.lane = lanes[row.Owner]
@@ -178,6 +184,7 @@
 	if int(row.Shard) < len(s.dense) {
 		if row.Epoch >= s.dense[row.Shard].epoch {
 			s.dense[row.Shard] = o
+			s.origin[row.Shard] = t
 		}
 		return
 	}
@@ -186,6 +193,18 @@
 	}
 }
 
+// addSolos takes the solo keys of a table whose parent shards the table has.
+// A zone that was cut off while its shards were taken away still publishes its
+// solo keys; the keys went with their shards.
+func (s *service) addSolos(t *table.Table) {
+	for _, solo := range t.Solos {
+		parent := solo.Hash.Shard(s.shards)
+		if int(parent) < len(s.origin) && s.origin[parent] == t {
+			s.solos[solo.Hash] = solo.Shard
+		}
+	}
+}
+
 // laneID tells the lanes of one target's lives at different addresses apart.
 type laneID struct {
 	service key.Service
--- /dev/null
+++ b/internal/entry/view_test.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/table"
+)
+
+// TestSoloKeyGoesWithItsShard: zone a was cut off and its shards were taken
+// away, but its last table, with a solo key, is still on the board.
+func TestSoloKeyGoesWithItsShard(t *testing.T) {
+	const shards key.ShardCount = 4
+	hash := key.HashOf("00855")
+	parent := hash.Shard(shards)
+	solo := key.Shard(shards) + parent
+	lost := &table.Table{
+		Zone: "a", Shards: shards,
+		Rows:  []table.Row{{Shard: parent, Epoch: 5, Owner: 0}, {Shard: solo, Epoch: 5, Owner: 0}},
+		Solos: []table.Solo{{Hash: hash, Shard: solo}},
+	}
+	taker := &table.Table{
+		Zone: "b", Shards: shards,
+		Rows: []table.Row{{Shard: parent, Epoch: 1029, Owner: 0}},
+	}
+	for name, test := range map[string]struct {
+		tables []*table.Table
+		shard  key.Shard
+	}{
+		"one zone":             {[]*table.Table{lost}, solo},
+		"taken away":           {[]*table.Table{lost, taker}, parent},
+		"taken away, reversed": {[]*table.Table{taker, lost}, parent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := &Entry{load: newLoad()}
+			s := e.newService(test.tables[0])
+			for _, tab := range test.tables {
+				for _, row := range tab.Rows {
+					s.add(row, []*lane{{}}, tab)
+				}
+			}
+			for _, tab := range test.tables {
+				s.addSolos(tab)
+			}
+			shard, _ := s.find(hash)
+			assert.Equal(t, shard, test.shard)
+		})
+	}
+}
