A new target gets its part of an even service

Cause: the busiest target's load over the mean hardly notices an idle target: one that joins 20 even ones changes it by 5 %.

Moves now also begin where a target has less than half of the mean, and end at three quarters.

--- a/internal/placement/balance.go
+++ b/internal/placement/balance.go
@@ -171,6 +171,15 @@
 	return float64(b.relative(i) / b.mean)
 }
 
+// idlest returns the least busy target's load over the mean.
+func (b *balance) idlest() float64 {
+	i := b.coldest()
+	if i < 0 || b.mean <= 0 {
+		return 1
+	}
+	return float64(b.relative(i) / b.mean)
+}
+
 // room returns the largest load that may go from one target to another: after
 // the move the receiver must not be as busy as the giver was, and it should
 // not end above the mean by more than the giver is left with.
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -27,6 +27,10 @@
 	// key is preferred to moving a whole shard: one key is pulled again
 	// instead of all of the shard's.
 	soloShare = 0.5
+	// idleShare is the part of the mean load below which a target gets more,
+	// busyShare the part at which it has enough.
+	idleShare = 0.5
+	busyShare = 0.75
 	// noiseFactor is how many standard deviations of the request count an
 	// imbalance has to exceed: the busiest of many targets is off by two by
 	// chance alone.
@@ -68,11 +72,8 @@
 func (p *Planner) Plan(now time.Time, cfg Config, layout Layout, loads *Loads) []cell.PlannedMove {
 	p.expire(now)
 	b := p.weigh(now, cfg, layout, loads)
-	if !p.wants(cfg, b) {
-		return nil
-	}
 	var out []cell.PlannedMove
-	for len(out) < maxBatch && len(p.starts) < cfg.MovesPerMinute {
+	for p.wants(cfg, b) && len(out) < maxBatch && len(p.starts) < cfg.MovesPerMinute {
 		m, ok := p.next(cfg, b)
 		if !ok {
 			break
@@ -80,9 +81,6 @@
 		b.apply(m)
 		p.remember(now, m)
 		out = append(out, m.planned(layout))
-		if b.imbalance() <= calm(cfg, b) {
-			break
-		}
 	}
 	return out
 }
@@ -138,15 +136,17 @@
 	return 1 + max(allowed(cfg), b.noise())/2
 }
 
-// wants decides, with hysteresis, whether shards should move at all.
+// wants decides, with hysteresis, whether shards should move at all: where the
+// busiest target has too much, or the least busy one too little. The latter
+// gives a new target its part although the others could do without it.
 func (p *Planner) wants(cfg Config, b *balance) bool {
-	imbalance := b.imbalance()
+	imbalance, idlest := b.imbalance(), b.idlest()
 	switch {
 	case b.mean < restLoad:
 		p.moving = false
-	case imbalance > limit(cfg, b):
+	case imbalance > limit(cfg, b), idlest < min(idleShare, 1-b.noise()):
 		p.moving = true
-	case imbalance <= calm(cfg, b):
+	case imbalance <= calm(cfg, b) && idlest >= min(busyShare, 1-b.noise()):
 		p.moving = false
 	}
 	return p.moving
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -57,6 +57,9 @@
 	service time.Duration
 	// steady keeps the hot set as it is.
 	steady bool
+	// joins is the second at which one more target joins; it is warm a minute
+	// later.
+	joins int
 }
 
 func newWorld(sc scene) *world {
@@ -107,6 +110,17 @@
 	}
 }
 
+func (w *world) join(second int) {
+	if w.joins == 0 || second < w.joins {
+		return
+	}
+	if second == w.joins {
+		w.layout.Targets = append(w.layout.Targets, placement.TargetRow{Target: "new"})
+	}
+	since := simStart.Add(time.Duration(w.joins) * time.Second)
+	w.layout.Targets[simTargets].Weight = placement.WarmWeight(w.now, since, time.Minute)
+}
+
 func (w *world) shardOf(h key.Hash) key.Shard {
 	if shard, ok := w.soloOf[h]; ok {
 		return shard
@@ -120,7 +134,7 @@
 	w.now = w.now.Add(time.Second)
 	perSecond := simLoad / w.service.Seconds()
 	requests := make(map[key.Shard]uint32)
-	truth := make([]float64, simTargets)
+	truth := make([]float64, len(w.layout.Targets))
 	sketch := topk.New(2 * placement.MaxHot)
 	count := func(h key.Hash, rate float64) {
 		shard := w.shardOf(h)
@@ -194,6 +208,7 @@
 	mostInMinute     int
 	lastMinute       int // moves in the last minute
 	solos            int
+	newTarget        float64 // load of the last target over the mean, at the end
 }
 
 // play runs a world for some minutes; a planner of nil keeps the rendezvous
@@ -208,6 +223,7 @@
 		if !sc.steady && second > 0 && second%int(simShift.Seconds()) == 0 {
 			w.shift()
 		}
+		w.join(second)
 		report, truth := w.step()
 		imbalance = append(imbalance, slices.Max(truth)/(simLoad/simTargets))
 		if p == nil {
@@ -225,6 +241,8 @@
 		}
 		out.mostInMinute, out.lastMinute = max(out.mostInMinute, recent), recent
 	}
+	_, truth := w.step()
+	out.newTarget = truth[len(truth)-1] / (simLoad / float64(len(truth)))
 	out.solos = len(w.soloOf)
 	out.movesPerMinute = float64(len(starts)) / float64(sc.minutes)
 	slices.Sort(imbalance)
@@ -283,3 +301,28 @@
 		})
 	}
 }
+
+// TestNewTargetGetsItsPart adds a target to a service that is even without it.
+func TestNewTargetGetsItsPart(t *testing.T) {
+	cfg := placement.Config{ImbalancePercent: 40, MovesPerMinute: 30, Shards: simShards}
+	sc := scene{seed: 1, minutes: 4, hotShare: 0.3, service: 10 * time.Millisecond, steady: true, joins: 90}
+	out := play(sc, cfg, placement.NewPlanner())
+	t.Logf("%s, new target at %.2f of the mean, last minute %d moves", out, out.newTarget, out.lastMinute)
+	assert.Assert(t, out.newTarget > 0.6)
+	assert.Assert(t, out.lastMinute <= 2)
+}
+
+// TestManyHotSets plays a long time in which more keys become hot than there
+// may be solo keys.
+func TestManyHotSets(t *testing.T) {
+	minutes := 12
+	if testing.Short() {
+		minutes = 3
+	}
+	cfg := placement.Config{ImbalancePercent: 20, MovesPerMinute: 30, Shards: simShards}
+	sc := scene{seed: 1, minutes: minutes, hotShare: 0.6, service: 10 * time.Millisecond}
+	static, planned := play(sc, cfg, nil), play(sc, cfg, placement.NewPlanner())
+	t.Logf("static:  %s", static)
+	t.Logf("planned: %s", planned)
+	assert.Assert(t, planned.mean < static.mean)
+}
