--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -73,6 +73,8 @@
 	heartbeatDue time.Time
 	maintainDue  time.Time
 
+	// unjudged tells that a list or the document changed since judgeLists.
+	unjudged    bool
 	fleet       FleetSeen
 	fleetSeen   bool
 	custody     CustodySeen
@@ -179,7 +181,7 @@
 	case PeerReceived:
 		c.takeMessage(ev)
 	case FleetSeen:
-		c.fleet, c.fleetSeen = ev, true
+		c.fleet, c.fleetSeen, c.unjudged = ev, true, true
 	case CustodySeen:
 		c.takeCustody(ev)
 	case PlanSeen:
@@ -187,7 +189,7 @@
 	case LostSeen:
 		c.takeLost(ev.Lost)
 	case DrainSeen:
-		c.drains = ev.Targets
+		c.drains, c.unjudged = ev.Targets, true
 	case ConfigSeen:
 		c.takeConfig(ev.Config)
 	case StopSeen:
@@ -198,6 +200,7 @@
 // advance runs each system once, in the order of their dependence.
 func (c *Cell) advance() {
 	c.resendWrite()
+	c.judgeLists()
 	if c.stopping {
 		c.stop()
 	}
@@ -220,7 +223,7 @@
 	}
 	ev.Shards = slices.Clone(ev.Shards)
 	slices.SortFunc(ev.Shards, func(a, b CustodyRow) int { return int(a.Shard) - int(b.Shard) })
-	c.custody, c.custodySeen = ev, true
+	c.custody, c.custodySeen, c.unjudged = ev, true, true
 }
 
 func (c *Cell) takePlan(ev PlanSeen) {
--- a/internal/cell/custody.go
+++ b/internal/cell/custody.go
@@ -36,7 +36,7 @@
 
 // takeIn adds rows for the shards that came into custody.
 func (c *Cell) takeIn(d *draft) {
-	if !c.custodySeen || c.custody.Revision < c.doc.Custody {
+	if !c.custodySeen || c.custody.Revision <= c.doc.Custody {
 		return
 	}
 	for _, s := range c.custody.Shards {
@@ -54,10 +54,8 @@
 		owner := d.pick(s.Shard, may)
 		d.insert(Row{Shard: s.Shard, Epoch: epoch, Owner: owner, Standby: d.standbyFor(s.Shard, owner, may)})
 	}
-	if d.doc.Custody != c.custody.Revision {
-		d.doc.Custody = c.custody.Revision
-		d.changed = true
-	}
+	d.doc.Custody = c.custody.Revision
+	d.changed = true
 }
 
 // giveUp removes the rows that custody took away, once nobody here holds
@@ -65,7 +63,7 @@
 func (c *Cell) giveUp(d *draft) {
 	for i := range c.rows {
 		r, s := c.doc.Rows[i], &c.rows[i]
-		if c.keeps(r.Shard) || s.doubt || s.active != nil {
+		if !s.away || s.doubt || s.active != nil {
 			continue
 		}
 		if e := c.giveEvidence(i); e != nil && !hasSolos(&d.doc, r.Shard) {
--- a/internal/cell/maintain.go
+++ b/internal/cell/maintain.go
@@ -130,10 +130,10 @@
 
 // moveRows gives shards whose old owner's grant has ended to new owners.
 func (c *Cell) moveRows(d *draft) {
-	lapsed := make(map[TargetIndex]bool)
+	lapsed := make([]bool, len(c.targets))
 	for i := range c.targets {
 		t := &c.targets[i]
-		lapsed[TargetIndex(i)] = t.target != "" && !c.answering(t) && c.ended(t)
+		lapsed[i] = t.target != "" && !c.answering(t) && c.ended(t)
 	}
 	for i := range c.rows {
 		s := &c.rows[i]
@@ -238,12 +238,16 @@
 // refreshStandbys replaces standbys that can't take over.
 func (c *Cell) refreshStandbys(d *draft) {
 	may := func(t TargetIndex) bool { return int(t) < len(c.targets) && c.eligible(t) }
+	fit := make([]bool, len(c.targets))
+	for i := range c.targets {
+		fit[i] = c.keepsStandby(&c.targets[i])
+	}
 	for i := range c.rows {
 		r := &d.doc.Rows[i]
 		if c.rows[i].doubt || c.rows[i].active != nil {
 			continue
 		}
-		if r.Standby != NoTarget && r.Standby != r.Owner && c.keepsStandby(r.Standby) {
+		if r.Standby != NoTarget && r.Standby != r.Owner && fit[r.Standby] {
 			continue
 		}
 		standby := d.standbyFor(r.Shard, r.Owner, may)
@@ -256,11 +260,9 @@
 
 // keepsStandby reports whether the target may stay a standby: a short silence
 // is no reason to write.
-func (c *Cell) keepsStandby(i TargetIndex) bool {
-	t := &c.targets[i]
-	_, lost := c.targetLost(t.target)
+func (c *Cell) keepsStandby(t *targetState) bool {
 	silent := c.now.Sub(latest(t.answered, c.leadSince)) > memberSilence
-	return t.target != "" && !lost && !silent && !c.leavingNow(i)
+	return t.target != "" && !t.leaving && !silent
 }
 
 // clearRemoved forgets removed hosts that every target refuses by now, or
--- a/internal/cell/membership.go
+++ b/internal/cell/membership.go
@@ -93,7 +93,7 @@
 			since[l.Host] = at
 		}
 	}
-	c.lost, c.lostSince = slices.Clone(lost), since
+	c.lost, c.lostSince, c.unjudged = slices.Clone(lost), since, true
 }
 
 // adoptRoster takes up a roster that this lead wrote: promises to the term
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -15,7 +15,7 @@
 			continue
 		}
 		switch {
-		case !c.keeps(r.Shard):
+		case c.rows[i].away:
 			c.release(i, NoTarget)
 			c.rows[i].giving = true
 			open--
@@ -37,7 +37,7 @@
 			continue
 		}
 		open--
-		if s.giving && c.keeps(c.doc.Rows[i].Shard) {
+		if s.giving && !s.away {
 			s.giving = false // the release goes on; the shard comes back here
 		}
 	}
--- a/internal/cell/row.go
+++ b/internal/cell/row.go
@@ -19,7 +19,8 @@
 	// releaseAt is when the release began; only answers to later orders count.
 	releaseAt time.Time
 	to        TargetIndex // where the shard moves; NoTarget: any
-	giving    bool        // custody took the shard away
+	away      bool        // custody took the shard away
+	giving    bool        // it is being released for that reason
 	// active is the standby that this lead made the owner.
 	active *Activation
 }
@@ -170,8 +171,5 @@
 
 // ended reports whether all of an unheard target's grants have ended.
 func (c *Cell) ended(t *targetState) bool {
-	if _, lost := c.targetLost(t.target); lost && !c.answering(t) {
-		return true
-	}
-	return c.lapsed(t)
+	return t.lost && !c.answering(t) || c.lapsed(t)
 }
--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -235,5 +235,5 @@
 	c.alignTargets(&old)
 	c.alignRows(&old)
 	c.alignMates()
-	c.dirty = true
+	c.dirty, c.unjudged = true, true
 }
--- a/internal/cell/target.go
+++ b/internal/cell/target.go
@@ -31,7 +31,9 @@
 	flying   bool
 	due      time.Time
 	digest   uint64
-	draining bool
+	draining bool // by its own word
+	leaving  bool // by any list or word
+	lost     bool // declared lost
 
 	// The newest whole inventory, of an order sent at inventoryAt at
 	// inventoryTerm. Zero term: none since this host took the lead.
@@ -110,20 +112,29 @@
 	return true
 }
 
-// leavingNow reports whether the platform's list, an operator or the target
-// itself says that it leaves.
-func (c *Cell) leavingNow(i TargetIndex) bool {
-	t := &c.targets[i]
-	if t.draining || slices.Contains(c.drains, t.target) {
-		return true
+// judgeLists works out what the lists say of each target and row, once after
+// each change.
+func (c *Cell) judgeLists() {
+	if !c.unjudged {
+		return
 	}
-	if _, lost := c.targetLost(t.target); lost {
-		return true
+	c.unjudged = false
+	for i := range c.targets {
+		t := &c.targets[i]
+		_, t.lost = c.targetLost(t.target)
+		row := c.fleetRow(t.target)
+		listed := row != nil && row.State == place.Leaving
+		t.leaving = t.lost || listed || t.draining || slices.Contains(c.drains, t.target)
+	}
+	for i := range c.rows {
+		c.rows[i].away = !c.keeps(c.doc.Rows[i].Shard)
 	}
-	row := c.fleetRow(t.target)
-	return row != nil && row.State == place.Leaving
 }
 
+// leavingNow reports whether the platform's list, an operator or the target
+// itself says that it leaves.
+func (c *Cell) leavingNow(i TargetIndex) bool { return c.targets[i].leaving }
+
 func (c *Cell) fleetRow(name place.Target) *place.TargetRow {
 	for i := range c.fleet.Targets {
 		r := &c.fleet.Targets[i]
@@ -154,6 +165,7 @@
 	}
 	t.asked, t.answered = ev.SentAt, c.now
 	t.clock, t.clockAt = a.Clock, c.now
+	c.unjudged = c.unjudged || t.draining != a.Draining
 	t.draining = a.Draining
 	t.digest = a.Digest
 	t.accepted = max(t.accepted, a.Term)
