A declaration leaves what this host granted to run out

A declaration now vouches only that no unaccounted host renews: grants of this lead and its mates run out first, and a target that answered after it was declared is no lost one.

--- a/internal/cell/fault_test.go
+++ b/internal/cell/fault_test.go
@@ -107,7 +107,14 @@
 	})
 }
 
+// declaredDown reports whether a node was declared lost or has not come back
+// since: operators keep it down.
+func (w *world) declaredDown(name string) bool { return w.now < w.down[name] }
+
 func (w *world) crashHost(h *hostNode, d time.Duration) {
+	if w.declaredDown(h.name) {
+		return
+	}
 	w.tracef("%s crashes for %v", h.name, d)
 	h.life++
 	h.dead = true
@@ -146,6 +153,9 @@
 }
 
 func (w *world) crashTarget(t *targetNode, d time.Duration) {
+	if w.declaredDown(t.name) {
+		return
+	}
 	w.tracef("%s crashes for %v", t.name, d)
 	t.life++
 	t.dead = true
@@ -228,11 +238,19 @@
 	l := Lost{By: "operator", Reason: "fire"}
 	if w.chance(0.5) {
 		h := w.hosts[w.r.IntN(len(w.hosts))]
+		if w.declaredDown(h.name) {
+			return
+		}
 		w.crashHost(h, back)
+		w.down[h.name] = w.now + back
 		l.Host = place.Host(h.name)
 	} else {
 		t := w.targets[w.r.IntN(len(w.targets))]
+		if w.declaredDown(t.name) {
+			return
+		}
 		w.crashTarget(t, back)
+		w.down[t.name] = w.now + back
 		l.Target = place.Target(t.name)
 	}
 	w.tracef("declared lost: %+v", l)
--- a/internal/cell/row.go
+++ b/internal/cell/row.go
@@ -169,7 +169,10 @@
 	return verdict{kind: asRecorded}
 }
 
-// ended reports whether all of an unheard target's grants have ended.
+// ended reports whether all of an unheard target's grants have ended. A
+// declaration vouches that no unaccounted host renews them; what this host
+// and its mates granted still has to run out, in case the target was alive.
 func (c *Cell) ended(t *targetState) bool {
-	return t.lost && !c.answering(t) || c.lapsed(t)
+	declared := t.lost && !t.refuted && c.now.After(c.quietAt(t))
+	return declared || c.lapsed(t)
 }
--- a/internal/cell/scenario_test.go
+++ b/internal/cell/scenario_test.go
@@ -57,6 +57,11 @@
 	return nil
 }
 
+func (w *world) declareTarget(t *targetNode) {
+	w.lost = []Lost{{Target: place.Target(t.name), By: "operator", Reason: "mistake"}}
+	w.tellAll()
+}
+
 // TestServedAgain loses parts of a quiet cell and bounds the time that any
 // shard is without an owner.
 func TestServedAgain(t *testing.T) {
@@ -70,13 +75,30 @@
 		"target killed":          {func(w *world) { w.crashTarget(w.ownerNode(), long) }, loss, 3},
 		"target frozen":          {func(w *world) { w.freeze(w.ownerNode(), long) }, loss, 3},
 		"target frozen and back": {func(w *world) { w.freeze(w.ownerNode(), 8*time.Second) }, loss, 3},
-		"target restarted":       {func(w *world) { w.crashTarget(w.ownerNode(), 100*time.Millisecond) }, time.Second, 3},
-		"lead killed":            {func(w *world) { w.crashHost(w.leadHost(), long) }, 0, 3},
-		"lead paused":            {func(w *world) { w.pauseHost(w.leadHost(), 5*time.Second) }, 0, 3},
-		"lead of two killed":     {func(w *world) { w.crashHost(w.leadHost(), long) }, 0, 2},
-		"lead stopped":           {func(w *world) { h := w.leadHost(); w.handle(h, h.life, StopSeen{}) }, 0, 3},
-		"store out":              {func(w *world) { w.up = false }, 0, 3},
-		"store slow":             {func(w *world) { w.slow = true }, 0, 3},
+		"target declared lost by mistake": {func(w *world) {
+			w.declareTarget(w.ownerNode())
+		}, time.Second, 3},
+		"target declared lost by mistake, then frozen": {func(w *world) {
+			t := w.ownerNode()
+			w.declareTarget(t)
+			w.after(50*time.Millisecond, func() { w.freeze(t, 10*time.Second) })
+		}, loss, 3},
+		"target drained": {func(w *world) {
+			w.drains = []place.Target{place.Target(w.ownerNode().name)}
+			w.tellAll()
+		}, time.Second, 3},
+		"all hosts replaced one by one": {func(w *world) {
+			for i, h := range w.hosts {
+				w.after(time.Duration(i)*3*time.Second, func() { w.handle(h, h.life, StopSeen{}) })
+			}
+		}, 0, 4},
+		"target restarted":   {func(w *world) { w.crashTarget(w.ownerNode(), 100*time.Millisecond) }, time.Second, 3},
+		"lead killed":        {func(w *world) { w.crashHost(w.leadHost(), long) }, 0, 3},
+		"lead paused":        {func(w *world) { w.pauseHost(w.leadHost(), 5*time.Second) }, 0, 3},
+		"lead of two killed": {func(w *world) { w.crashHost(w.leadHost(), long) }, 0, 2},
+		"lead stopped":       {func(w *world) { h := w.leadHost(); w.handle(h, h.life, StopSeen{}) }, 0, 3},
+		"store out":          {func(w *world) { w.up = false }, 0, 3},
+		"store slow":         {func(w *world) { w.slow = true }, 0, 3},
 		"store out, target killed": {func(w *world) {
 			w.up = false
 			w.after(5*time.Second, func() { w.crashTarget(w.ownerNode(), long) })
--- a/internal/cell/target.go
+++ b/internal/cell/target.go
@@ -34,6 +34,8 @@
 	draining bool // by its own word
 	leaving  bool // by any list or word
 	lost     bool // declared lost
+	lostAt   time.Time
+	refuted  bool // it answered an order sent after lostAt
 
 	// The newest whole inventory, of an order sent at inventoryAt at
 	// inventoryTerm. Zero term: none since this host took the lead.
@@ -121,7 +123,11 @@
 	c.unjudged = false
 	for i := range c.targets {
 		t := &c.targets[i]
+		was := t.lost
 		_, t.lost = c.targetLost(t.target)
+		if t.lost && !was {
+			t.lostAt, t.refuted = c.now, false
+		}
 		row := c.fleetRow(t.target)
 		listed := row != nil && row.State == place.Leaving
 		t.leaving = t.lost || listed || t.draining || slices.Contains(c.drains, t.target)
@@ -168,6 +174,7 @@
 	c.unjudged = c.unjudged || t.draining != a.Draining
 	t.draining = a.Draining
 	t.digest = a.Digest
+	t.refuted = t.refuted || t.lost && ev.SentAt.After(t.lostAt)
 	t.accepted = max(t.accepted, a.Term)
 	c.superseded(a.Term, string(ev.Target))
 	if c.role == leader && a.Accepted {
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -129,6 +129,7 @@
 	drains   []place.Target
 	leaving  []place.Target
 	unlisted map[string]bool
+	down     map[string]time.Duration // declared nodes, until when
 	lost     []Lost
 	versions map[place.Host]table.Version
 
@@ -167,6 +168,7 @@
 		cuts: make(map[[2]string]time.Duration), outside: make(map[key.Shard]grant.Epoch),
 		solos: make(map[key.Hash]Solo), rejoined: make(map[key.Hash]grant.Epoch),
 		versions: make(map[place.Host]table.Version), unlisted: make(map[string]bool),
+		down: make(map[string]time.Duration),
 	}
 	w.storeClock = w.newClock()
 	w.custody = CustodySeen{Revision: 1}
