--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -106,8 +106,8 @@
 	contact time.Time
 	// held is when the newest call that took or renewed the lease was sent.
 	held time.Time
-	// lastFailed is when a call last came back without reaching the store.
-	lastFailed time.Time
+	// taken tells that another host held the lease by the newest answer.
+	taken bool
 }
 
 // knobs switch off one rule each, for the runs that prove the rules needed.
@@ -269,8 +269,10 @@
 	maintainEvery = 100 * time.Millisecond
 	callTimeout   = 15 * time.Second // after it an unanswered call counts as lost
 	rankDelay     = 150 * time.Millisecond
-	memberSilence = 3 * time.Second  // of a roster host before it is dropped
-	memberForget  = 10 * time.Second // of an unlisted target before its row is reused
+	campaignEvery = 100 * time.Millisecond // between calls for a lease about to lapse
+	campaignEager = 2 * time.Second        // after it, calls come as a lead's do
+	memberSilence = 3 * time.Second        // of a roster host before it is dropped
+	memberForget  = 10 * time.Second       // of an unlisted target before its row is reused
 )
 
 // knownTerm returns the highest term this host has heard of.
--- a/internal/cell/deputy.go
+++ b/internal/cell/deputy.go
@@ -2,7 +2,8 @@
 
 import "slices"
 
-// considerDeputy turns a campaign that can't reach the store into deputising.
+// considerDeputy turns a campaign that gets no lease from a silent or slow
+// store into deputising; where another host has the lease, that one leads.
 // The host must have read the store and heard the lead in this life. With a
 // bounded hold there is no deputy: it does not know the lead's last contact.
 func (c *Cell) considerDeputy() {
@@ -12,7 +13,7 @@
 	if !slices.Contains(c.doc.Roster, c.cfg.Self) || c.refused > c.doc.Term {
 		return
 	}
-	if c.now.Sub(c.campaign.since) < c.cfg.Timing.LeaseRenew+c.rank() || c.lease.contact.After(c.campaign.since) {
+	if c.now.Sub(c.campaign.since) < c.cfg.Timing.LeaseRenew+c.rank() || c.lease.taken {
 		return
 	}
 	c.role = deputy
@@ -26,11 +27,20 @@
 	c.logf("renews as deputy at term %d", c.doc.Term)
 }
 
-// deputise renews what stands, and goes on trying to reach the store.
+// deputise renews what stands, and goes on trying to get the lease.
 func (c *Cell) deputise() {
-	c.read()
-	if c.campaign.fresh {
-		c.stepDown("the store answers")
+	if !c.campaign.fresh {
+		c.read()
+	}
+	c.askLease(c.cfg.Timing.LeaseRenew)
+	if c.lease.taken {
+		c.stepDown("another host has the lease")
+		return
+	}
+	if c.campaign.fresh && c.now.Before(c.lease.until) {
+		c.logf("campaigns again: the store answers")
+		c.role = candidate
+		c.run()
 		return
 	}
 	c.heartbeat()
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -43,7 +43,19 @@
 	if !c.hasDoc {
 		roster = c.wantedRoster()
 	}
-	return time.Duration(max(slices.Index(roster, c.cfg.Self), 0)) * rankDelay
+	i := max(slices.Index(roster, c.cfg.Self), 0)
+	if lead := slices.Index(roster, c.doc.Lead); lead >= 0 && lead < i {
+		i--
+	}
+	return time.Duration(i) * rankDelay
+}
+
+// campaignInterval is short while the old lead's lease is about to lapse.
+func (c *Cell) campaignInterval() time.Duration {
+	if c.now.Sub(c.campaign.since) < campaignEager {
+		return campaignEvery
+	}
+	return c.cfg.Timing.LeaseRenew
 }
 
 // follow starts a campaign once the lead is silent on the peer link. A lead
@@ -64,9 +76,14 @@
 	if c.now.Before(c.promise.heard.Add(silence + c.rank())) {
 		return
 	}
+	c.startCampaign()
+	c.run()
+}
+
+func (c *Cell) startCampaign() {
 	c.role = candidate
 	c.campaign = campaign{since: c.now}
-	c.run()
+	c.lease.taken = false
 }
 
 // run carries a campaign on: read, take the lease, write the next term.
@@ -84,7 +101,7 @@
 		return
 	}
 	if !c.now.Before(c.lease.until) {
-		c.askLease(c.cfg.Timing.LeaseRenew)
+		c.askLease(c.campaignInterval())
 		c.considerDeputy()
 		return
 	}
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -205,8 +205,7 @@
 	if !c.mayLead() {
 		return
 	}
-	c.role = candidate
-	c.campaign = campaign{since: c.now}
+	c.startCampaign()
 }
 
 // mayRenew reports whether this host has the right to renew grants: by a
--- a/internal/cell/scenario_test.go
+++ b/internal/cell/scenario_test.go
@@ -107,6 +107,21 @@
 			w.up = false
 			w.after(5*time.Second, func() { w.crashHost(w.leadHost(), long) })
 		}, 0, 3},
+		"store slow, lead killed": {func(w *world) {
+			w.slow = true
+			w.after(5*time.Second, func() { w.crashHost(w.leadHost(), long) })
+		}, 0, 3},
+		"store slow, target killed": {func(w *world) {
+			w.slow = true
+			w.after(5*time.Second, func() { w.crashTarget(w.ownerNode(), long) })
+		}, loss, 3},
+		"store out, target drained": {func(w *world) {
+			w.up = false
+			w.after(5*time.Second, func() {
+				w.drains = []place.Target{place.Target(w.ownerNode().name)}
+				w.tellAll()
+			})
+		}, time.Second, 3},
 		"lead and target killed": {func(w *world) {
 			w.crashTarget(w.ownerNode(), long)
 			w.crashHost(w.leadHost(), long)
--- a/internal/cell/standby.go
+++ b/internal/cell/standby.go
@@ -4,8 +4,8 @@
 	"citrontray.example/citrontray/internal/grant"
 )
 
-// standbys activates the standby of shards whose owner is gone while the
-// store is out. Every roster host must promise, and must have read the store
+// standbys activates the standby of shards whose owner is gone, or leaves,
+// while the store is out. Every roster host must promise, and must have read the store
 // in this life: nobody then knows a later term, or renews the old owner.
 //
 // A successor need not have heard of it: it asks owner and standby. Nor need
@@ -20,6 +20,9 @@
 		if s.doubt || s.giving || s.active != nil || r.Owner == NoTarget || r.Standby == NoTarget || r.Standby == r.Owner {
 			continue
 		}
+		if c.leavingNow(r.Owner) && c.eligible(r.Standby) && !s.releasing {
+			c.release(i, NoTarget)
+		}
 		if e := c.endEvidence(i); e != nil && c.eligible(r.Standby) {
 			c.activate(i, e)
 		}
--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -178,9 +178,9 @@
 	l := &c.lease
 	l.pending = false
 	if !ev.Reached {
-		l.lastFailed = c.now
 		return
 	}
+	l.taken = !ev.Held
 	l.contact = latest(l.contact, ev.SentAt)
 	from := ev.SentAt
 	if c.knobs.leaseFromAnswer {
