--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -73,6 +73,8 @@
 	heartbeatDue time.Time
 	maintainDue  time.Time
 
+	// unjudged tells that a list or the document changed since judgeLists.
+	unjudged    bool
 	fleet       FleetSeen
 	fleetSeen   bool
 	custody     CustodySeen
@@ -104,8 +106,8 @@
 	contact time.Time
 	// held is when the newest call that took or renewed the lease was sent.
 	held time.Time
-	// lastFailed is when a call last came back without reaching the store.
-	lastFailed time.Time
+	// taken tells that another host held the lease by the newest answer.
+	taken bool
 }
 
 // knobs switch off one rule each, for the runs that prove the rules needed.
@@ -179,7 +181,7 @@
 	case PeerReceived:
 		c.takeMessage(ev)
 	case FleetSeen:
-		c.fleet, c.fleetSeen = ev, true
+		c.fleet, c.fleetSeen, c.unjudged = ev, true, true
 	case CustodySeen:
 		c.takeCustody(ev)
 	case PlanSeen:
@@ -187,7 +189,7 @@
 	case LostSeen:
 		c.takeLost(ev.Lost)
 	case DrainSeen:
-		c.drains = ev.Targets
+		c.drains, c.unjudged = ev.Targets, true
 	case ConfigSeen:
 		c.takeConfig(ev.Config)
 	case StopSeen:
@@ -198,6 +200,7 @@
 // advance runs each system once, in the order of their dependence.
 func (c *Cell) advance() {
 	c.resendWrite()
+	c.judgeLists()
 	if c.stopping {
 		c.stop()
 	}
@@ -220,7 +223,7 @@
 	}
 	ev.Shards = slices.Clone(ev.Shards)
 	slices.SortFunc(ev.Shards, func(a, b CustodyRow) int { return int(a.Shard) - int(b.Shard) })
-	c.custody, c.custodySeen = ev, true
+	c.custody, c.custodySeen, c.unjudged = ev, true, true
 }
 
 func (c *Cell) takePlan(ev PlanSeen) {
@@ -266,8 +269,10 @@
 	maintainEvery = 100 * time.Millisecond
 	callTimeout   = 15 * time.Second // after it an unanswered call counts as lost
 	rankDelay     = 150 * time.Millisecond
-	memberSilence = 3 * time.Second  // of a roster host before it is dropped
-	memberForget  = 10 * time.Second // of an unlisted target before its row is reused
+	campaignEvery = 100 * time.Millisecond // between calls for a lease about to lapse
+	campaignEager = 2 * time.Second        // after it, calls come as a lead's do
+	memberSilence = 3 * time.Second        // of a roster host before it is dropped
+	memberForget  = 10 * time.Second       // of an unlisted target before its row is reused
 )
 
 // knownTerm returns the highest term this host has heard of.
