--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -181,10 +181,10 @@
 
 // seeds returns the addresses that the daemons start from.
 func (r *Run) seeds() []string {
-	const count = 6
-	var seeds []string
-	for _, host := range r.Hosts[:min(count, len(r.Hosts))] {
-		seeds = append(seeds, host.LeadPeer.String())
+	const most = 6
+	seeds := make([]string, min(most, len(r.Hosts)))
+	for i := range seeds {
+		seeds[i] = r.Hosts[i].LeadPeer.String()
 	}
 	return seeds
 }
