--- a/internal/settings/commit.go
+++ b/internal/settings/commit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -22,10 +23,13 @@
 // maxAttempts bounds the compare-and-swaps of one commit.
 const maxAttempts = 64
 
+// eagerAttempts are made without a pause where another writer was faster.
+const eagerAttempts = 4
+
 // maxReads bounds the reads of the document until one is answered.
 const maxReads = 2
 
-// retryPause is the wait before asking again after a lost answer.
+// retryPause is the mean wait before another attempt.
 const retryPause = 20 * time.Millisecond
 
 // ErrNotAccepted is returned where the store is out and the write has
@@ -90,18 +94,22 @@
 // Committer writes settings to the platform's service. Safe for concurrent use.
 type Committer struct {
 	store platform.Store
+	// turn is taken by the one write under way: writers of one process wait
+	// for each other here and don't fight over the store's revision.
+	turn chan struct{}
 	// pause waits before another try; it ends early with ctx.
 	pause func(ctx context.Context)
 }
 
 // NewCommitter returns a committer on store.
 func NewCommitter(store platform.Store) *Committer {
-	return &Committer{store: store, pause: pause}
+	return &Committer{store: store, turn: make(chan struct{}, 1), pause: pause}
 }
 
-// pause waits for retryPause or the end of ctx.
+// pause waits for about retryPause or the end of ctx. The length is random, so
+// that writers on several hosts don't meet again.
 func pause(ctx context.Context) {
-	timer := time.NewTimer(retryPause)
+	timer := time.NewTimer(retryPause/2 + rand.N(retryPause))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -140,6 +148,7 @@
 	doubt bool
 	// base and next are of the compare-and-swap in doubt.
 	base, next *Settings
+	body       []byte // next, encoded
 }
 
 // Commit makes the request accepted by one compare-and-swap. Errors: *finding.Error, *ConflictError, ErrNotAccepted,
@@ -150,7 +159,16 @@
 		req.ID = uuid.NewString()
 	}
 	a := &attempt{Committer: c, Request: req}
-	for range maxAttempts {
+	select {
+	case c.turn <- struct{}{}:
+		defer func() { <-c.turn }()
+	case <-ctx.Done():
+		return Accepted{}, a.unreachable(ctx.Err())
+	}
+	for i := range maxAttempts {
+		if i >= eagerAttempts {
+			a.pause(ctx)
+		}
 		done, err := a.try(ctx, now)
 		if err != nil {
 			return Accepted{}, err
@@ -248,7 +266,7 @@
 	differences := Diff(current, next)
 	next.Number = current.Number + 1
 	next.History = current.record(now, a.Request, differences)
-	if len(Encode(next)) > MaxDocumentBytes {
+	if a.body = Encode(next); len(a.body) > MaxDocumentBytes {
 		return ErrTooLarge
 	}
 	a.base, a.next = current, next
@@ -257,7 +275,7 @@
 
 // write sends the prepared document.
 func (a *attempt) write(ctx context.Context) (*Settings, error) {
-	revision, err := a.store.Write(ctx, StorePath, Encode(a.next), a.base.Revision)
+	revision, err := a.store.Write(ctx, StorePath, a.body, a.base.Revision)
 	var conflict *platform.ConflictError
 	switch {
 	case err == nil:
--- /dev/null
+++ b/internal/settings/converge_bench_test.go
@@ -0,0 +1,221 @@
+package settings_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/journal"
+	"citrontray.example/citrontray/internal/peer"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/platform"
+	"citrontray.example/citrontray/internal/preset"
+	"citrontray.example/citrontray/internal/settings"
+	"citrontray.example/citrontray/internal/spread"
+	"citrontray.example/citrontray/internal/standin"
+)
+
+// The users' network: one way between two availability zones, and a call of
+// the platform's service.
+const (
+	zoneDelay  = 1500 * time.Microsecond
+	storeDelay = 2 * time.Millisecond
+	burst      = 100
+)
+
+// wire joins the links of all holders in one process.
+type wire struct {
+	mu    sync.Mutex
+	links map[netip.AddrPort]*link
+}
+
+// link is one holder's peer.Link.
+type link struct {
+	*wire
+	self     peer.Identity
+	handlers map[peer.Kind]peer.Handler
+}
+
+func (l *link) Handle(kind peer.Kind, handler peer.Handler) { l.handlers[kind] = handler }
+
+func (l *link) Call(ctx context.Context, to netip.AddrPort, kind peer.Kind, body []byte) ([]byte, error) {
+	l.mu.Lock()
+	other := l.links[to]
+	l.mu.Unlock()
+	if other == nil || other.handlers[kind] == nil {
+		return nil, fmt.Errorf("nobody at %s", to)
+	}
+	if other.self.Zone != l.self.Zone {
+		time.Sleep(2 * zoneDelay)
+	}
+	return other.handlers[kind](ctx, l.self, body)
+}
+
+// holder is one host: its board and what it has in force.
+type holder struct {
+	settings.Applied
+	board *spread.Memory
+}
+
+// loop applies what comes onto the board.
+func (h *holder) loop(ctx context.Context, at func(number uint64)) error {
+	news := h.board.Subscribe(spread.Settings)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-news:
+		}
+		doc, ok := h.board.Get(spread.Settings)
+		if !ok {
+			continue
+		}
+		if _, err := h.OfferDocument(time.Now(), platform.Revision(doc.Version.Major), doc.Body); err != nil {
+			return err
+		}
+		_, number, _ := h.InForce()
+		at(number)
+	}
+}
+
+// spreading is a deployment of holders on one store.
+type spreading struct {
+	store   *standin.Platform
+	holders []*holder
+	mu      sync.Mutex
+	reached map[uint64]time.Time // when all holders had a number
+	behind  []uint64
+}
+
+// saw notes that a holder has number in force.
+func (s *spreading) saw(i int, number uint64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.behind[i] = number
+	all := slices.Min(s.behind)
+	for n := all; n > 0 && s.reached[n].IsZero(); n-- {
+		s.reached[n] = now
+	}
+}
+
+// startHolders starts count holders in three zones.
+func startHolders(ctx context.Context, group *errgroup.Group, count int) *spreading {
+	s := &spreading{store: standin.NewPlatform(), behind: make([]uint64, count), reached: make(map[uint64]time.Time)}
+	s.store.SetFaults(standin.PlatformFaults{SlowMin: storeDelay, SlowMax: storeDelay})
+	s.store.SetFleetLag(0)
+	net := &wire{links: make(map[netip.AddrPort]*link)}
+	address := func(i int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 7000)
+	}
+	seeds := []netip.AddrPort{address(0), address(1), address(2)}
+	for i := range count {
+		id := peer.Identity{Host: place.Host(fmt.Sprintf("h%d", i)), Zone: place.Zone(fmt.Sprintf("z%d", i%3)), Role: peer.RoleLead}
+		l := &link{wire: net, self: id, handlers: make(map[peer.Kind]peer.Handler)}
+		s.store.SetHost(time.Now(), place.HostRow{Host: id.Host, Zone: id.Zone, Lead: address(i)})
+		h := &holder{board: spread.New()}
+		s.holders = append(s.holders, h)
+		node := spread.NewNode(h.board, l, spread.Config{Self: id, Addr: address(i), Seeds: seeds, Store: s.store, Log: journal.Nop()})
+		net.mu.Lock()
+		net.links[address(i)] = l
+		net.mu.Unlock()
+		group.Go(func() error { return node.Run(ctx) })
+		group.Go(func() error {
+			return h.loop(ctx, func(number uint64) { s.saw(i, number, time.Now()) })
+		})
+	}
+	return s
+}
+
+// await waits until all holders have number in force and returns since when.
+func (s *spreading) await(number uint64) time.Time {
+	for {
+		s.mu.Lock()
+		at := s.reached[number]
+		s.mu.Unlock()
+		if !at.IsZero() {
+			return at
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// BenchmarkConvergence measures the time from acceptance until every holder
+// has the revision in force: single writes, then a burst by ten operators.
+func BenchmarkConvergence(b *testing.B) {
+	for _, count := range []int{3, 12, 48} {
+		b.Run(fmt.Sprintf("holders=%d", count), func(b *testing.B) {
+			for b.Loop() {
+				converge(b, count)
+			}
+		})
+	}
+}
+
+func converge(b *testing.B, count int) {
+	ctx, cancel := context.WithCancel(b.Context())
+	var group errgroup.Group
+	defer func() {
+		cancel()
+		assert.NilError(b, group.Wait())
+	}()
+	s := startHolders(ctx, &group, count)
+	c := settings.NewCommitter(s.store)
+	p, err := preset.Get(preset.Agency)
+	assert.NilError(b, err)
+	write := func(file string) (uint64, time.Time) {
+		done, err := c.Commit(ctx, time.Now(), settings.Request{Changes: parse(b, file)})
+		assert.NilError(b, err)
+		return done.Write.Number, time.Now()
+	}
+	first, _ := write(string(p.File))
+	s.await(first)
+	const singles = 10
+	var single, burstTimes []time.Duration
+	for i := range singles {
+		number, accepted := write(moves("plan", i+1))
+		single = append(single, s.await(number).Sub(accepted))
+	}
+	reads := s.store.Counts().Reads
+	begun := time.Now()
+	burstTimes = s.burst(c, b)
+	b.ReportMetric(slices.Max(single).Seconds()*1e3, "single_max_ms")
+	b.ReportMetric(slices.Max(burstTimes).Seconds()*1e3, "burst_max_ms")
+	b.ReportMetric(time.Since(begun).Seconds()*1e3, "burst_all_ms")
+	b.ReportMetric(float64(s.store.Counts().Reads-reads), "burst_reads")
+}
+
+// burst lets ten operators make burst writes at once.
+func (s *spreading) burst(c *settings.Committer, b *testing.B) []time.Duration {
+	const operators = 10
+	var mu sync.Mutex
+	var group errgroup.Group
+	accepted := make(map[uint64]time.Time)
+	for o := range operators {
+		group.Go(func() error {
+			for i := range burst / operators {
+				file := fmt.Sprintf("platform/drains/targets/t%d-%d: {reason: burst}\n", o, i)
+				done, err := c.Commit(b.Context(), time.Now(), settings.Request{Changes: parse(b, file)})
+				if err != nil {
+					return err
+				}
+				mu.Lock()
+				accepted[done.Write.Number] = time.Now()
+				mu.Unlock()
+			}
+			return nil
+		})
+	}
+	assert.NilError(b, group.Wait())
+	out := make([]time.Duration, 0, len(accepted))
+	for number, at := range accepted {
+		out = append(out, s.await(number).Sub(at))
+	}
+	return out
+}
