Entries and leads report in one form; operators' API under lost answers

An entry's page now carries the report that the status, explain and top commands read, with the load of targets and callers over five seconds. State becomes metrics once a second. Tests: who may write what, an answer of one or all hosts lost, lost and then refused.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -32,6 +32,8 @@
 	DecodeTable    func([]byte) (table.Table, error)
 	// Host is this entry host.
 	Host place.Host
+	// Zone is the availability zone of the host, for its report.
+	Zone place.Zone
 	// Sharing is how entry hosts share the slots of a target.
 	Sharing Sharing
 	// Link carries load reports to leads and requests to homes; without it
@@ -68,6 +70,8 @@
 	cfg     Config
 	log     *slog.Logger
 	metrics *metrics
+	usage   usage
+	started time.Time
 	ids     *ids
 	joins   *joins
 	load    *load
@@ -79,6 +83,7 @@
 	// refreshing guards what refresh alone changes.
 	refreshing      sync.Mutex
 	settingsVersion spread.Version
+	settingsSince   time.Time
 	tableCache      map[spread.Name]cachedTable
 	lanes           map[laneID]*lane
 
@@ -102,6 +107,7 @@
 		cfg:        cfg,
 		log:        cfg.Log,
 		metrics:    newMetrics(cfg.Registry),
+		started:    time.Now(),
 		ids:        newIDs(),
 		joins:      newJoins(),
 		load:       newLoad(),
--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -239,6 +239,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.running--
+	_, refused := r.(forward.Refused)
+	l.entry.usage.released(now, l, took, refused)
 	switch r := r.(type) {
 	case forward.Answered:
 		l.succeed(took)
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -25,6 +25,7 @@
 	"citrontray.example/citrontray/internal/queue"
 	"citrontray.example/citrontray/internal/settings"
 	"citrontray.example/citrontray/internal/spread"
+	"citrontray.example/citrontray/internal/status"
 	"citrontray.example/citrontray/internal/table"
 	"citrontray.example/citrontray/internal/version"
 )
@@ -193,6 +194,7 @@
 	return Config{
 		Board:          board,
 		Host:           d.opts.Host,
+		Zone:           d.opts.Zone,
 		Sharing:        ShareMixed,
 		Link:           d.link,
 		DecodeSettings: settings.Decode,
@@ -228,6 +230,7 @@
 	group.Go(func() error { return d.node.Run(outer) })
 	group.Go(func() error { return d.entry.Run(outer) })
 	group.Go(func() error { return d.pages.Run(outer) })
+	group.Go(func() error { return status.NewMeter(d.entry, d.metrics).Run(outer) })
 	group.Go(func() error { return d.runReady(outer) })
 	group.Go(d.runServer)
 	group.Go(func() error {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -42,7 +42,9 @@
 		return
 	}
 	result := e.admit(w, r, m, start)
-	e.metrics.ended(m, result, time.Since(start))
+	ended := time.Now()
+	e.metrics.ended(m, result, ended.Sub(start))
+	e.usage.ended(ended, m, result, ended.Sub(start))
 	outcome.Write(w, result)
 }
 
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -68,7 +68,7 @@
 		services: make(map[key.Service]*service),
 		replaced: make(chan struct{}),
 	}
-	if !e.readSettings(v) {
+	if !e.readSettings(v, now) {
 		return
 	}
 	v.tables = e.readTables()
@@ -86,7 +86,7 @@
 
 // readSettings takes the newest settings; it reports false while there are
 // none yet.
-func (e *Entry) readSettings(v *view) bool {
+func (e *Entry) readSettings(v *view, now time.Time) bool {
 	doc, ok := e.cfg.Board.Get(spread.Settings)
 	if !ok {
 		return v.settings != nil
@@ -99,7 +99,7 @@
 		e.log.Error("Settings are unreadable.", "error", err)
 		return v.settings != nil
 	}
-	e.settingsVersion = doc.Version
+	e.settingsVersion, e.settingsSince = doc.Version, now
 	v.settings = s
 	v.routes = route.New(s)
 	e.resetLimits(s)
--- a/internal/lead/library.go
+++ b/internal/lead/library.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"sync"
+	"time"
 
 	"citrontray.example/citrontray/internal/custody"
 	"citrontray.example/citrontray/internal/key"
@@ -21,6 +22,8 @@
 	view    *view
 	seen    map[spread.Name]spread.Version
 	changes uint64
+	// settingsSince is when the settings in force came.
+	settingsSince time.Time
 }
 
 func newLibrary(board spread.Board, log *slog.Logger) *library {
@@ -47,10 +50,20 @@
 		}
 		l.view = next
 		l.changes++
+		if doc.Name == spread.Settings {
+			l.settingsSince = time.Now()
+		}
 	}
 	return l.view, l.changes
 }
 
+// since returns when the settings in force came to this process.
+func (l *library) since() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.settingsSince
+}
+
 // unseen returns the documents that the view does not reflect yet.
 func (l *library) unseen() []spread.Document {
 	docs := l.board.List(spread.CustodyPrefix)
--- a/internal/lead/main.go
+++ b/internal/lead/main.go
@@ -183,7 +183,7 @@
 		Self: material.Self(), Seeds: o.Peers, Store: store, Log: log,
 	})
 	pages.SetReady(true)
-	if err := runAll(ctx, daemon, link, pages, spreading, operators); err != nil {
+	if err := runAll(ctx, daemon, link, pages, spreading, operators, status.NewMeter(daemon, metrics)); err != nil {
 		log.Error("Lead failed.", slog.Any("error", err))
 		return 1
 	}
--- a/internal/lead/status.go
+++ b/internal/lead/status.go
@@ -190,5 +190,7 @@
 	if v.settings == nil {
 		return status.Settings{}
 	}
-	return status.Settings{Number: v.settings.Number, Revision: uint64(v.settings.Revision)}
+	return status.Settings{
+		Number: v.settings.Number, Revision: uint64(v.settings.Revision), Since: d.library.since(),
+	}
 }
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,172 @@
+package operator_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gorilla/mux"
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/journal"
+	"citrontray.example/citrontray/internal/operator"
+	"citrontray.example/citrontray/internal/preset"
+	"citrontray.example/citrontray/internal/settings"
+	"citrontray.example/citrontray/internal/standin"
+)
+
+// host is one entry host's operators' API; it may lose answers.
+type host struct {
+	lose atomic.Int64
+	next http.Handler
+}
+
+// ServeHTTP answers, or drops the connection after the work is done.
+func (h *host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if h.lose.Add(-1) >= 0 {
+		h.next.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	}
+	h.next.ServeHTTP(w, r)
+}
+
+// deployment has two hosts on one store.
+type deployment struct {
+	store *standin.Platform
+	hosts [2]*host
+	addrs []netip.AddrPort
+}
+
+func deploy(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{store: standin.NewPlatform()}
+	for i := range d.hosts {
+		router := mux.NewRouter()
+		operator.NewServer(operator.ServerConfig{
+			Store: d.store, Bootstrap: settings.HashCredential("first"), Log: journal.Nop(),
+		}).Register(router)
+		d.hosts[i] = &host{next: router}
+		server := httptest.NewServer(d.hosts[i])
+		t.Cleanup(server.Close)
+		d.addrs = append(d.addrs, netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+	}
+	return d
+}
+
+func (d *deployment) client(credential string) *operator.Client {
+	return operator.NewClient(operator.ClientConfig{Addrs: d.addrs, Credential: credential, Timeout: time.Minute})
+}
+
+func (d *deployment) apply(t *testing.T, file string) {
+	t.Helper()
+	_, err := d.client("first").Write(t.Context(), operator.Order{File: []byte(file)})
+	assert.NilError(t, err)
+}
+
+func consortium(t *testing.T) string {
+	t.Helper()
+	p, err := preset.Get(preset.Consortium)
+	assert.NilError(t, err)
+	return string(p.File)
+}
+
+func delegation(path, credential, below string) string {
+	return fmt.Sprintf("%s: {below: [%s], credential: %q}\n", path, below, settings.HashText(settings.HashCredential(credential)))
+}
+
+// TestWhoMayWrite checks credentials against subtrees.
+func TestWhoMayWrite(t *testing.T) {
+	d := deploy(t)
+	d.apply(t, consortium(t)+
+		delegation("platform/delegations/desk", "desk", "platform, teams")+
+		delegation("teams/mesa/delegations/mesa", "mesa", "teams/mesa")+
+		delegation("teams/mesa/delegations/limits", "limits", "teams/mesa/limits")+
+		delegation("teams/mesa/delegations/handing", "handing", "teams/mesa/delegations"))
+	const limit = "teams/mesa/limits/mesa-crews/interactive: {rate: 5}\n"
+	cases := map[string]struct {
+		credential, file string
+		denied           string
+	}{
+		"own subtree":             {credential: "mesa", file: limit},
+		"narrow subtree":          {credential: "limits", file: limit},
+		"platform's operator":     {credential: "desk", file: limit},
+		"another team":            {credential: "mesa", file: "teams/sierra/limits/sierra-crews/bulk: {rate: 5}\n", denied: "may not write"},
+		"one of two paths":        {credential: "limits", file: limit + "teams/mesa/callers/mesa-crews: null\n", denied: "may not write"},
+		"prefix of the name":      {credential: "mesa", file: "teams/mesa2/callers/c: null\n", denied: "may not write"},
+		"hands on more":           {credential: "handing", file: delegation("teams/mesa/delegations/new", "x", "teams/mesa"), denied: "may not delegate"},
+		"widens itself":           {credential: "handing", file: delegation("teams/mesa/delegations/handing", "handing", "teams/mesa"), denied: "may not delegate"},
+		"bootstrap after its end": {credential: "first", file: limit, denied: "unknown credential"},
+		"caller's credential":     {credential: preset.Credential("mesa-crews"), file: limit, denied: "unknown credential"},
+		"no credential":           {file: limit, denied: "no credential"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := d.client(c.credential).Write(t.Context(), operator.Order{File: []byte(c.file), DryRun: true})
+			var denied *operator.DeniedError
+			if c.denied == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assert.Assert(t, errors.As(err, &denied), "error %v", err)
+			assert.ErrorContains(t, err, c.denied)
+		})
+	}
+}
+
+// TestAnswerOfHostLost asks the next host with the same id: applied once.
+func TestAnswerOfHostLost(t *testing.T) {
+	d := deploy(t)
+	d.hosts[0].lose.Store(1)
+	out, err := d.client("first").Write(t.Context(), operator.Order{File: []byte(consortium(t))})
+	assert.NilError(t, err)
+	assert.Equal(t, out.Number, uint64(1))
+	view, err := d.client("first").Read(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, view.Number, uint64(1))
+	assert.Equal(t, view.History[0].By, "bootstrap")
+}
+
+// TestAnswersOfAllHostsLost cannot know the outcome and says so.
+func TestAnswersOfAllHostsLost(t *testing.T) {
+	d := deploy(t)
+	d.hosts[0].lose.Store(1)
+	d.hosts[1].lose.Store(1)
+	_, err := d.client("first").Write(t.Context(), operator.Order{File: []byte(consortium(t))})
+	assert.ErrorIs(t, err, settings.ErrUnresolved)
+}
+
+// TestLostThenRefused must not call a write refused that an earlier host may
+// have made.
+func TestLostThenRefused(t *testing.T) {
+	d := deploy(t)
+	d.hosts[0].lose.Store(1)
+	d.hosts[1].next = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.store.SetFaults(standin.PlatformFaults{Down: true})
+		defer d.store.SetFaults(standin.PlatformFaults{})
+		d.hosts[0].next.ServeHTTP(w, r)
+	})
+	_, err := d.client("first").Write(t.Context(), operator.Order{File: []byte(consortium(t))})
+	assert.ErrorIs(t, err, settings.ErrUnresolved)
+}
+
+func TestStoreOut(t *testing.T) {
+	d := deploy(t)
+	d.store.SetFaults(standin.PlatformFaults{Down: true})
+	_, err := d.client("first").Write(t.Context(), operator.Order{File: []byte(consortium(t))})
+	assert.ErrorIs(t, err, settings.ErrNotAccepted)
+}
+
+func TestNobodyThere(t *testing.T) {
+	client := operator.NewClient(operator.ClientConfig{
+		Addrs: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}, Credential: "x", Timeout: time.Minute,
+	})
+	_, err := client.Write(context.Background(), operator.Order{})
+	assert.ErrorIs(t, err, settings.ErrNotAccepted)
+}
--- a/internal/settings/converge_bench_test.go
+++ b/internal/settings/converge_bench_test.go
@@ -177,14 +177,14 @@
 	first, _ := write(string(p.File))
 	s.await(first)
 	const singles = 10
-	var single, burstTimes []time.Duration
+	single := make([]time.Duration, 0, singles)
 	for i := range singles {
 		number, accepted := write(moves("plan", i+1))
 		single = append(single, s.await(number).Sub(accepted))
 	}
 	reads := s.store.Counts().Reads
 	begun := time.Now()
-	burstTimes = s.burst(c, b)
+	burstTimes := s.burst(c, b)
 	b.ReportMetric(slices.Max(single).Seconds()*1e3, "single_max_ms")
 	b.ReportMetric(slices.Max(burstTimes).Seconds()*1e3, "burst_max_ms")
 	b.ReportMetric(time.Since(begun).Seconds()*1e3, "burst_all_ms")
--- /dev/null
+++ b/internal/status/meter.go
@@ -0,0 +1,76 @@
+package status
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"citrontray.example/citrontray/internal/metric"
+)
+
+// meterInterval is how often a report becomes metrics.
+const meterInterval = time.Second
+
+// Meter keeps the metrics of a daemon's state in step with its reports.
+type Meter struct {
+	source   Source
+	registry *metric.Registry
+}
+
+// NewMeter returns a meter of source.
+func NewMeter(source Source, registry *metric.Registry) *Meter {
+	return &Meter{source: source, registry: registry}
+}
+
+// Run sets the metrics until ctx ends.
+func (m *Meter) Run(ctx context.Context) error {
+	ticker := time.NewTicker(meterInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			m.set(now, m.source.Report(now, Query{}))
+		}
+	}
+}
+
+// set sets the metrics to one report.
+func (m *Meter) set(now time.Time, r Report) {
+	m.registry.Gauge("settings_number").Update(float64(r.Settings.Number))
+	if !r.Store.IsZero() {
+		m.registry.Gauge("store_silence_seconds").Update(max(now.Sub(r.Store).Seconds(), 0))
+	}
+	for i := range r.Cells {
+		m.setCell(&r.Cells[i])
+	}
+	for i := range r.Targets {
+		t := &r.Targets[i]
+		scope := m.scope("target", t.Target)
+		scope.Gauge("target_waiting").Update(float64(t.Waiting))
+		scope.Gauge("target_running").Update(float64(t.Running))
+	}
+}
+
+// setCell sets the metrics of one cell.
+func (m *Meter) setCell(c *Cell) {
+	scope := m.scope("service", c.Service)
+	leading := 0.0
+	if c.Leading {
+		leading = 1
+	}
+	scope.Gauge("cell_leading").Update(leading)
+	scope.Gauge("cell_term").Update(float64(c.Term))
+	scope.Gauge("cell_shards").Update(float64(c.Shards))
+	scope.Gauge("cell_owned").Update(float64(c.Owned))
+	scope.Gauge("cell_moving").Update(float64(c.Moving))
+	scope.Gauge("cell_doubts").Update(float64(len(c.Doubts)))
+	scope.Gauge("cell_solos").Update(float64(c.Solos))
+}
+
+// scope returns the metrics with one label, whose values are bounded.
+func (m *Meter) scope(label, value string) tally.Scope {
+	return m.registry.Tagged(map[string]string{label: m.registry.Value(label, value)})
+}
--- /dev/null
+++ b/internal/status/status_test.go
@@ -0,0 +1,74 @@
+package status_test
+
+import (
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/status"
+)
+
+func TestUsage(t *testing.T) {
+	start := time.Unix(1000, 0)
+	var u status.Usage[string]
+	for i := range 100 {
+		took := time.Millisecond
+		if i >= 98 {
+			took = time.Second
+		}
+		u.Add(start.Add(time.Duration(i)*10*time.Millisecond), "a", took, i%10 == 0)
+	}
+	first := u.Loads(start.Add(2 * time.Second))
+	assert.Equal(t, first["a"].PerSecond, 50.0)
+
+	later := u.Loads(start.Add(5 * time.Second))
+	assert.Equal(t, later["a"].PerSecond, 20.0)
+	assert.Equal(t, later["a"].Refused, 2.0)
+	assert.Assert(t, later["a"].P99 > 1000, "p99 %v", later["a"].P99)
+
+	assert.Equal(t, len(u.Loads(start.Add(10*time.Second))), 0)
+	assert.Equal(t, len(u.Loads(start.Add(time.Hour))), 0)
+}
+
+func TestCollect(t *testing.T) {
+	source := status.SourceFunc(func(_ time.Time, q status.Query) status.Report {
+		r := status.Report{Host: "h", Cells: []status.Cell{{Service: "s", Zone: "z", Term: 4, Leading: true, Lead: "h"}}}
+		if q.Asked() {
+			r.Key = &status.Key{Service: string(q.Service), Key: q.Key}
+		}
+		return r
+	})
+	server := httptest.NewServer(status.Handler(source))
+	defer server.Close()
+	addr := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	nobody := netip.MustParseAddrPort("127.0.0.1:1")
+	answers := status.Collect(t.Context(), []netip.AddrPort{addr, nobody}, status.Query{Service: "s", Key: "a b&c"}, time.Minute)
+	assert.NilError(t, answers[0].Err)
+	assert.Equal(t, answers[0].Report.Key.Key, "a b&c")
+	assert.Assert(t, answers[1].Err != nil)
+}
+
+func TestCellsOf(t *testing.T) {
+	row := func(term uint64, leading bool, lead string) status.Answer {
+		return status.Answer{Report: status.Report{Cells: []status.Cell{{Service: "s", Zone: "z", Term: term, Leading: leading, Lead: lead}}}}
+	}
+	cases := map[string]struct {
+		answers []status.Answer
+		want    string
+	}{
+		"higher term":  {[]status.Answer{row(3, true, "old"), row(4, false, "new")}, "new"},
+		"who leads":    {[]status.Answer{row(4, false, "heard"), row(4, true, "leads")}, "leads"},
+		"only hearsay": {[]status.Answer{row(4, false, "heard")}, "heard"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			cells := status.CellsOf(c.answers)
+			assert.Equal(t, len(cells), 1)
+			assert.Equal(t, cells[0].Lead, c.want)
+		})
+	}
+}
