--- a/internal/cell/row.go
+++ b/internal/cell/row.go
@@ -19,7 +19,8 @@
 	// releaseAt is when the release began; only answers to later orders count.
 	releaseAt time.Time
 	to        TargetIndex // where the shard moves; NoTarget: any
-	giving    bool        // custody took the shard away
+	away      bool        // custody took the shard away
+	giving    bool        // it is being released for that reason
 	// active is the standby that this lead made the owner.
 	active *Activation
 }
@@ -168,10 +169,10 @@
 	return verdict{kind: asRecorded}
 }
 
-// ended reports whether all of an unheard target's grants have ended.
+// ended reports whether all of an unheard target's grants have ended. A
+// declaration vouches that no unaccounted host renews them; what this host
+// and its mates granted still has to run out, in case the target was alive.
 func (c *Cell) ended(t *targetState) bool {
-	if _, lost := c.targetLost(t.target); lost && !c.answering(t) {
-		return true
-	}
-	return c.lapsed(t)
+	declared := t.lost && !t.refuted && c.now.After(c.quietAt(t))
+	return declared || c.lapsed(t)
 }
--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -178,9 +178,9 @@
 	l := &c.lease
 	l.pending = false
 	if !ev.Reached {
-		l.lastFailed = c.now
 		return
 	}
+	l.taken = !ev.Held
 	l.contact = latest(l.contact, ev.SentAt)
 	from := ev.SentAt
 	if c.knobs.leaseFromAnswer {
@@ -235,5 +235,5 @@
 	c.alignTargets(&old)
 	c.alignRows(&old)
 	c.alignMates()
-	c.dirty = true
+	c.dirty, c.unjudged = true, true
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,9 +30,8 @@
 	Board          spread.Board
 	DecodeSettings func([]byte) (*settings.Settings, error)
 	DecodeTable    func([]byte) (table.Table, error)
-	// Host is this entry host.
+	// Host and Zone name this entry host.
 	Host place.Host
-	// Zone is the availability zone of the host, for its report.
 	Zone place.Zone
 	// Sharing is how entry hosts share the slots of a target.
 	Sharing Sharing
@@ -70,7 +69,7 @@
 	cfg     Config
 	log     *slog.Logger
 	metrics *metrics
-	usage   usage
+	meters  *meters
 	started time.Time
 	ids     *ids
 	joins   *joins
@@ -107,6 +106,7 @@
 		cfg:        cfg,
 		log:        cfg.Log,
 		metrics:    newMetrics(cfg.Registry),
+		meters:     newMeters(),
 		started:    time.Now(),
 		ids:        newIDs(),
 		joins:      newJoins(),
--- a/internal/lead/library.go
+++ b/internal/lead/library.go
@@ -22,8 +22,6 @@
 	view    *view
 	seen    map[spread.Name]spread.Version
 	changes uint64
-	// settingsSince is when the settings in force came.
-	settingsSince time.Time
 }
 
 func newLibrary(board spread.Board, log *slog.Logger) *library {
@@ -42,7 +40,7 @@
 	defer l.mu.Unlock()
 	for _, doc := range l.unseen() {
 		l.seen[doc.Name] = doc.Version
-		next, err := l.view.with(doc)
+		next, err := l.view.with(time.Now(), doc)
 		if err != nil {
 			// The cells keep what they were last told.
 			l.log.Error("Document not readable.", slog.String("name", string(doc.Name)), slog.Any("error", err))
@@ -50,20 +48,10 @@
 		}
 		l.view = next
 		l.changes++
-		if doc.Name == spread.Settings {
-			l.settingsSince = time.Now()
-		}
 	}
 	return l.view, l.changes
 }
 
-// since returns when the settings in force came to this process.
-func (l *library) since() time.Time {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.settingsSince
-}
-
 // unseen returns the documents that the view does not reflect yet.
 func (l *library) unseen() []spread.Document {
 	docs := l.board.List(spread.CustodyPrefix)
@@ -82,7 +70,7 @@
 }
 
 // with returns a copy of the view that reflects the document as well.
-func (v *view) with(doc spread.Document) (*view, error) {
+func (v *view) with(now time.Time, doc spread.Document) (*view, error) {
 	next := *v
 	switch doc.Name {
 	case spread.Settings:
@@ -92,6 +80,7 @@
 		}
 		decoded.Revision = platform.Revision(doc.Version.Major)
 		next.settings = decoded
+		next.settingsSince = now
 	case spread.Fleet:
 		fleet, err := spread.DecodeFleet(doc.Body)
 		if err != nil {
--- a/internal/lead/status.go
+++ b/internal/lead/status.go
@@ -191,6 +191,8 @@
 		return status.Settings{}
 	}
 	return status.Settings{
-		Number: v.settings.Number, Revision: uint64(v.settings.Revision), Since: d.library.since(),
+		Number:   v.settings.Number,
+		Revision: uint64(v.settings.Revision),
+		Since:    v.settingsSince,
 	}
 }
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -27,9 +27,14 @@
 	// key is preferred to moving a whole shard: one key is pulled again
 	// instead of all of the shard's.
 	soloShare = 0.5
+	// idleShare is the part of the mean load below which a target gets more,
+	// busyShare the part at which it has enough.
+	idleShare = 0.5
+	busyShare = 0.75
 	// noiseFactor is how many standard deviations of the request count an
-	// imbalance has to exceed.
-	noiseFactor = 2
+	// imbalance has to exceed: the busiest of many targets is off by two by
+	// chance alone.
+	noiseFactor = 4
 )
 
 // Config is how an operator weighs moves against imbalance.
@@ -66,13 +71,9 @@
 // Plan returns the moves that pay now, the most useful first.
 func (p *Planner) Plan(now time.Time, cfg Config, layout Layout, loads *Loads) []cell.PlannedMove {
 	p.expire(now)
-	b := newBalance(now, cfg, layout, loads)
-	b.assume(now, p)
-	if !p.wants(cfg, b) {
-		return nil
-	}
+	b := p.weigh(now, cfg, layout, loads)
 	var out []cell.PlannedMove
-	for len(out) < maxBatch && len(p.starts) < cfg.MovesPerMinute {
+	for p.wants(cfg, b) && len(out) < maxBatch && len(p.starts) < cfg.MovesPerMinute {
 		m, ok := p.next(cfg, b)
 		if !ok {
 			break
@@ -80,9 +81,6 @@
 		b.apply(m)
 		p.remember(now, m)
 		out = append(out, m.planned(layout))
-		if b.imbalance() <= calm(cfg) {
-			break
-		}
 	}
 	return out
 }
@@ -107,26 +105,48 @@
 	p.starts = kept
 }
 
-// limit returns the imbalance from which shards move.
-func limit(cfg Config) float64 {
+// weigh returns the balance by the shortest window that tells an imbalance
+// from chance, otherwise by the longest. Moves asked for lately count as done.
+func (p *Planner) weigh(now time.Time, cfg Config, layout Layout, loads *Loads) *balance {
+	var b *balance
+	for w := range window(windows) {
+		b = newBalance(now, cfg, layout, loads, w)
+		b.assume(now, p)
+		if b.noise() <= allowed(cfg) {
+			break
+		}
+	}
+	return b
+}
+
+// allowed returns the imbalance that the operator accepts: the busiest target's
+// load over the mean, less one.
+func allowed(cfg Config) float64 {
 	const percent = 100
-	return 1 + float64(cfg.ImbalancePercent)/percent
+	return float64(cfg.ImbalancePercent) / percent
+}
+
+// limit returns the imbalance from which shards move.
+func limit(cfg Config, b *balance) float64 {
+	return 1 + max(allowed(cfg), b.noise())
 }
 
 // calm returns the imbalance at which moving ends.
-func calm(cfg Config) float64 {
-	return 1 + (limit(cfg)-1)/2
+func calm(cfg Config, b *balance) float64 {
+	return 1 + max(allowed(cfg), b.noise())/2
 }
 
-// wants decides, with hysteresis, whether shards should move at all.
+// wants decides, with hysteresis, whether shards should move at all: where the
+// busiest target has too much, or the least busy one too little. The latter
+// gives a new target its part although the others could do without it.
 func (p *Planner) wants(cfg Config, b *balance) bool {
-	imbalance := b.imbalance()
+	imbalance, idlest := b.imbalance(), b.idlest()
 	switch {
 	case b.mean < restLoad:
 		p.moving = false
-	case imbalance > limit(cfg) && imbalance > 1+b.noise():
+	case imbalance > limit(cfg, b), idlest < min(idleShare, 1-b.noise()):
 		p.moving = true
-	case imbalance <= calm(cfg):
+	case imbalance <= calm(cfg, b) && idlest >= min(busyShare, 1-b.noise()):
 		p.moving = false
 	}
 	return p.moving
