--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -25,6 +25,7 @@
 	"citrontray.example/citrontray/internal/queue"
 	"citrontray.example/citrontray/internal/settings"
 	"citrontray.example/citrontray/internal/spread"
+	"citrontray.example/citrontray/internal/status"
 	"citrontray.example/citrontray/internal/table"
 	"citrontray.example/citrontray/internal/version"
 )
@@ -229,6 +230,7 @@
 	group.Go(func() error { return d.node.Run(outer) })
 	group.Go(func() error { return d.entry.Run(outer) })
 	group.Go(func() error { return d.pages.Run(outer) })
+	group.Go(func() error { return status.NewMeter(d.entry, d.metrics).Run(outer) })
 	group.Go(func() error { return d.runReady(outer) })
 	group.Go(d.runServer)
 	group.Go(func() error {
