--- a/internal/command/program.go
+++ b/internal/command/program.go
@@ -91,6 +91,7 @@
 		{credentialCommand(), groupLocal},
 		{keysCommand(), groupLocal},
 		{completionCommand(), groupLocal},
+		{referenceCommand(), groupLocal},
 	}
 }
 
--- /dev/null
+++ b/internal/command/reference.go
@@ -0,0 +1,69 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"citrontray.example/citrontray/internal/settings"
+)
+
+const referenceHead = `# Settings reference
+
+This page is printed by ` + "`citrontray reference`" + `; a test compares both.
+
+A settings file is YAML. Its top is a mapping of paths to fields; comments are
+allowed, the order does not matter. ` + "`path: null`" + ` takes a setting out. A file
+gives the whole value of each path that it names and leaves all other paths as
+they are. Names in paths are small letters, digits and ` + "`.` `_` `-`" + ` inside, at most
+63 bytes. A file has at most 1 MiB, all settings together at most 1 MB as kept in the
+platform's service, compressed and with their history.
+
+Beyond the fields, these must hold, or nothing is written:
+
+- names of services and of callers are unique in the deployment;
+- a route names a service that is there, and callers of its own team;
+- a route to another team's service needs a share there, and its prefix starts
+  with the share's prefix;
+- keys of routes to one service do not overlap where teams or tenants differ;
+- one caller's method and path lead to one route;
+- a route that takes GET is idempotent;
+- a team's delegation stays below the team's own path;
+- no two callers or operators share a credential.
+
+`
+
+// reference returns the page of all settings.
+func reference() string {
+	var b strings.Builder
+	b.WriteString(referenceHead)
+	for _, k := range settings.Kinds() {
+		fmt.Fprintf(&b, "## `%s`\n\n%s\n\n| field | value | without it | meaning |\n|---|---|---|---|\n", k.Paths, k.About)
+		for _, f := range k.Fields {
+			fallback := f.Fallback
+			switch {
+			case f.Required:
+				fallback = "required"
+			case fallback == "":
+				fallback = "none"
+			}
+			fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", f.Name, f.Form, fallback, f.About)
+		}
+		b.WriteByte('\n')
+	}
+	return strings.TrimSuffix(b.String(), "\n")
+}
+
+func referenceCommand() *command {
+	return &command{
+		name: "reference", local: true,
+		synopsis: "print the reference of all settings, in Markdown",
+		run: func(_ context.Context, c *command, args []string) error {
+			if err := want(args, 0, 0, "no arguments"); err != nil {
+				return err
+			}
+			fmt.Fprint(c.Out, reference())
+			return nil
+		},
+	}
+}
--- a/internal/settings/change.go
+++ b/internal/settings/change.go
@@ -32,6 +32,7 @@
 	items := slices.SortedFunc(maps.Values(byPath), func(a, b Item) int { return cmp.Compare(a.Path, b.Path) })
 	next := build(items, &found)
 	next.check(byPath, &found)
+	next.checkFixed(s, byPath, &found)
 	if err := found.Err(); err != nil {
 		return nil, err
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -92,6 +92,18 @@
 	}
 }
 
+// checkFixed records what may not change while a service is there: hosts that
+// count the shards of a key space in two ways would send one key to two
+// targets.
+func (s *Settings) checkFixed(old *Settings, items map[Path]Item, found *finding.List) {
+	for i := range s.Services {
+		service := &s.Services[i]
+		if before, ok := old.Service(service.Name); ok && before.Shards != service.Shards {
+			found.Add(items[servicePath(service)].place("shards"), "is fixed while the service is there", "make a new service with another name and lead the routes to it")
+		}
+	}
+}
+
 func (c *checker) caller(r *CallerRow) {
 	if _, ok := c.callers[r.Name]; ok {
 		c.add(callerPath(r), "", "has the name of another caller", "names of callers are unique in the deployment")
--- a/internal/settings/parse_test.go
+++ b/internal/settings/parse_test.go
@@ -65,6 +65,11 @@
 	}
 }
 
+func TestShardsAreFixed(t *testing.T) {
+	_, err := agency(t).With(parse(t, "teams/agency/services/plan: {zones: [anadolu-a], shards: 2048}"))
+	assert.ErrorContains(t, err, "teams/agency/services/plan shards at 1:50: is fixed while the service is there")
+}
+
 func TestOverlapOfTeams(t *testing.T) {
 	const file = `
 teams/sierra/routes/towers:
