Solo keys go back into their shards; a lost host's promise counts to its end

512 solo keys a cell were the end of cutting: there was no way back. A solo key is now released and its row removed, on placement's word or for the oldest while few numbers are left.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -115,7 +115,7 @@
 	extendGrants, noInventory, manyUnaccounted, lonely        bool
 	lapseFromAnchor, sharedPromises, noSilence, standbyUnread bool
 	forgetRemoved, noParentCheck                              bool
-	assumeLost, leaseFromAnswer, leaseUnverified              bool
+	assumeLost, leaseFromAnswer, leaseUnverified, lostAtOnce  bool
 }
 
 // New returns the cell's core for one host. It does nothing before the first
--- a/internal/cell/event.go
+++ b/internal/cell/event.go
@@ -87,13 +87,15 @@
 // PlanSeen hands the cell the moves that placement wants now.
 type PlanSeen struct{ Moves []PlannedMove }
 
-// PlannedMove asks for one move or, with Solo set, for cutting a hot key out
-// of its shard first.
+// PlannedMove asks for one move or, with Cut set, for cutting the hot key Solo
+// out of its shard first. With Join set it asks to put the solo key of that
+// shard back into its parent.
 type PlannedMove struct {
 	Shard key.Shard
 	To    place.Target
 	Solo  key.Hash
 	Cut   bool
+	Join  bool
 }
 
 // LostSeen reports the operators' declarations in force for this zone.
--- a/internal/cell/fault_test.go
+++ b/internal/cell/fault_test.go
@@ -327,6 +327,7 @@
 		move.Solo = key.Hash(uint64(move.Shard)<<62 | uint64(w.r.IntN(2)))
 	} else if len(w.doc.Solos) > 0 && w.chance(0.4) {
 		move.Shard = w.doc.Solos[w.r.IntN(len(w.doc.Solos))].Shard
+		move.Join = w.chance(0.3)
 	}
 	for _, h := range w.hosts {
 		w.handle(h, h.life, PlanSeen{Moves: []PlannedMove{move}})
--- a/internal/cell/maintain.go
+++ b/internal/cell/maintain.go
@@ -27,6 +27,7 @@
 	c.clearRemoved(d)
 	// From here on the rows of the draft are out of line with c.rows.
 	c.cutSolos(d)
+	c.joinSolos(d)
 	c.takeIn(d)
 	c.giveUp(d)
 	if d.changed {
--- a/internal/cell/membership.go
+++ b/internal/cell/membership.go
@@ -81,7 +81,7 @@
 }
 
 // takeLost records the operators' declarations. What a lost host granted until
-// then still has to lapse.
+// then, or let others grant by its promise, still has to lapse.
 func (c *Cell) takeLost(lost []Lost) {
 	since := make(map[place.Host]time.Time)
 	for _, l := range lost {
--- a/internal/cell/network_test.go
+++ b/internal/cell/network_test.go
@@ -131,6 +131,14 @@
 			delete(w.rejoined, s.Hash)
 		}
 	}
+	for _, s := range w.doc.Solos {
+		i, j := w.doc.rowOf(s.Parent), next.rowOf(s.Parent)
+		if !isSolo(next, s.Shard) && i >= 0 && j >= 0 {
+			w.stats.joins++
+			w.rejoined[s.Hash] = next.Rows[j].Epoch
+			w.after(0, w.checkAll)
+		}
+	}
 	for _, g := range next.Given {
 		if _, away := w.outside[g.Shard]; away || slices.ContainsFunc(w.doc.Given, func(o Given) bool { return o.Shard == g.Shard }) {
 			continue
@@ -297,6 +305,14 @@
 	return h.Epoch < s.Cut || rejoined && h.Epoch >= again
 }
 
+func (w *world) checkAll() {
+	for _, t := range w.targets {
+		if !t.dead {
+			w.checkTarget(t, grant.Order{})
+		}
+	}
+}
+
 // checkOutside reports a shard that a target still holds as another zone gets it.
 func (w *world) checkOutside(shard key.Shard) {
 	for _, t := range w.targets {
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -37,7 +37,7 @@
 			continue
 		}
 		open--
-		if s.giving && !s.away {
+		if s.giving && !s.away && !s.joining {
 			s.giving = false // the release goes on; the shard comes back here
 		}
 	}
@@ -70,6 +70,9 @@
 // startPlan begins planned moves, oldest first.
 func (c *Cell) startPlan(open int) {
 	c.plan = append(c.plan, c.cutsToMove()...)
+	if len(c.doc.Solos) > maxSolos-spareSolos {
+		c.startJoin(c.doc.Solos[0].Shard)
+	}
 	c.planStarts = slices.DeleteFunc(c.planStarts, func(at time.Time) bool {
 		return c.now.Sub(at) >= time.Minute
 	})
@@ -77,6 +80,10 @@
 		if p.Cut {
 			return false // maintain writes it
 		}
+		if p.Join {
+			c.startJoin(p.Shard)
+			return true
+		}
 		if open <= 0 || len(c.planStarts) >= c.cfg.MovesPerMinute {
 			return true // placement asks again
 		}
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -290,8 +290,12 @@
 				from = latest(from, m.since)
 			}
 		}
+		// A promise that the lost host made backs another one to its end.
 		for _, since := range c.lostSince {
-			from = latest(from, since)
+			if c.knobs.lostAtOnce {
+				break
+			}
+			from = latest(from, since.Add(c.longer(c.cfg.Timing.Promise)))
 		}
 	}
 	return from.Add(c.longer(c.cfg.Timing.Grant))
--- a/internal/cell/row.go
+++ b/internal/cell/row.go
@@ -20,7 +20,8 @@
 	releaseAt time.Time
 	to        TargetIndex // where the shard moves; NoTarget: any
 	away      bool        // custody took the shard away
-	giving    bool        // it is being released for that reason
+	giving    bool        // it is being released to lose its row
+	joining   bool        // for a solo key: its row goes into its parent's
 	// active is the standby that this lead made the owner.
 	active *Activation
 }
--- a/internal/cell/rule_test.go
+++ b/internal/cell/rule_test.go
@@ -64,6 +64,15 @@
 	w.link(b.name, c.name)
 }
 
+// lostBacker declares the host lost that backed the old lead until just now.
+func lostBacker(w *world) {
+	a, b, _, _ := backedLead(w)
+	w.cutLinks(a.name, b.name)
+	w.crashHost(b, time.Hour)
+	w.lost = []Lost{{Host: place.Host(b.name), By: "operator", Reason: "fire"}}
+	w.tellAll()
+}
+
 // droppedBackers drops an old lead and its backer from the roster, then cuts
 // the successor from a target that the old lead still renews.
 func droppedBackers(w *world) {
@@ -186,6 +195,9 @@
 		"exclusive promises": {
 			movedBacker, options{hosts: 3, targets: 4}, func(o *options) { o.knobs.sharedPromises = true },
 		},
+		"lost hosts leave promises behind": {
+			lostBacker, options{hosts: 3, targets: 4}, func(o *options) { o.knobs.lostAtOnce = true },
+		},
 		"removed hosts count": {
 			droppedBackers,
 			options{hosts: 3, targets: 4, unfenced: true, termless: true},
--- a/internal/cell/run_test.go
+++ b/internal/cell/run_test.go
@@ -100,6 +100,9 @@
 func TestKeptSeeds(t *testing.T) {
 	tests := map[string]uint64{
 		"stale lead gets the lapsed lease back":                 3574,
+		"promise of a lost host outlives the declaration":       41097,
+		"grants of a lost host outlive the declaration":         1551,
+		"target answers although it is declared lost":           106553,
 		"stale lead grants to a restarted target":               435,
 		"a pause between two effects reorders published tables": 1660,
 	}
@@ -148,5 +151,6 @@
 	{"parent of a solo key ended", func(o *options) { o.knobs.noParentCheck = true }},
 	{"lost answer is not a failure", func(o *options) { o.knobs.assumeLost = true }},
 	{"lease counts from sending", func(o *options) { o.knobs.leaseFromAnswer = true }},
+	{"lost hosts leave promises behind", func(o *options) { o.knobs.lostAtOnce = true }},
 	{"lease got back is verified", func(o *options) { o.knobs.leaseUnverified = true }},
 }
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -141,8 +141,8 @@
 // stats counts what happened in a run, to tell whether it reached anything.
 // Served and samples count shards in custody, ten times a second.
 type stats struct {
-	moves, terms, activated, deputies, cuts, given, unknown, declared, rosters int
-	served, samples                                                            int
+	moves, terms, activated, deputies, cuts, given, unknown, declared, rosters, joins int
+	served, samples                                                                   int
 }
 
 func (s *stats) add(o stats) {
@@ -155,6 +155,7 @@
 	s.unknown += o.unknown
 	s.declared += o.declared
 	s.rosters += o.rosters
+	s.joins += o.joins
 	s.served += o.served
 	s.samples += o.samples
 }
