--- a/internal/peer/quic.go
+++ b/internal/peer/quic.go
@@ -253,10 +253,10 @@
 func (p *Peer) upkeep(now time.Time) {
 	changed, err := p.keys.Reload(now)
 	if err != nil {
-		p.log.Warn("keys not reloaded, the old ones stay", slog.Any("error", err))
+		p.log.Warn("Keys not reloaded, the old ones stay.", slog.Any("error", err))
 	}
 	if changed {
-		p.log.Info("keys reloaded")
+		p.log.Info("Keys reloaded.")
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -48,12 +48,12 @@
 func (p *Peer) accept(conn *quic.Conn) {
 	s, err := newSession(p, conn, time.Now())
 	if err != nil {
-		p.log.Warn("connection refused", slog.String("from", conn.RemoteAddr().String()), slog.Any("error", err))
+		p.log.Warn("Connection refused.", slog.String("from", conn.RemoteAddr().String()), slog.Any("error", err))
 		_ = conn.CloseWithError(codeDenied, "")
 		return
 	}
 	if !p.admit(s) {
-		p.log.Warn("connection refused, too many are open", slog.String("from", conn.RemoteAddr().String()))
+		p.log.Warn("Connection refused, too many are open.", slog.String("from", conn.RemoteAddr().String()))
 		s.close(codeFull)
 		return
 	}
--- a/internal/spread/follow.go
+++ b/internal/spread/follow.go
@@ -45,7 +45,7 @@
 				return
 			}
 			f.node.failed(sent, f.addr)
-			f.node.log.Debug("poll failed", slog.String("addr", f.addr.String()), slog.Any("error", err))
+			f.node.log.Debug("Poll failed.", slog.String("addr", f.addr.String()), slog.Any("error", err))
 			sleep(ctx, retryWait(f.failures))
 			f.failures++
 			continue
--- a/internal/spread/network_test.go
+++ b/internal/spread/network_test.go
@@ -108,6 +108,8 @@
 	fleet    platform.Fleet
 	down     func() bool
 	calls    int
+	cutZone  place.Zone
+	delay    time.Duration
 }
 
 func newStore() *store {
@@ -130,6 +132,55 @@
 	s.down = func() bool { return down }
 }
 
+// from is the store as one zone's hosts reach it.
+func (s *store) from(zone place.Zone) platform.Store { return zoneStore{store: s, zone: zone} }
+
+// zoneStore is a store that a zone may be cut off from, or that is slow.
+type zoneStore struct {
+	*store
+
+	zone place.Zone
+}
+
+func (z zoneStore) reach() error {
+	z.mu.Lock()
+	cut, delay := z.cutZone == z.zone, z.delay
+	z.mu.Unlock()
+	time.Sleep(delay)
+	if cut {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (z zoneStore) List(ctx context.Context, prefix platform.Path) ([]platform.Entry, platform.Revision, error) {
+	if err := z.reach(); err != nil {
+		return nil, 0, err
+	}
+	return z.store.List(ctx, prefix)
+}
+
+func (z zoneStore) Watch(ctx context.Context, prefix platform.Path, from platform.Revision) ([]platform.Change, platform.Revision, error) {
+	if err := z.reach(); err != nil {
+		return nil, from, err
+	}
+	return z.store.Watch(ctx, prefix, from)
+}
+
+func (z zoneStore) Fleet(ctx context.Context) (platform.Fleet, error) {
+	if err := z.reach(); err != nil {
+		return platform.Fleet{}, err
+	}
+	return z.store.Fleet(ctx)
+}
+
+// trouble cuts a zone off from the store and makes each call take delay.
+func (s *store) trouble(zone place.Zone, delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cutZone, s.delay = zone, delay
+}
+
 func (s *store) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -232,7 +283,7 @@
 	lead := peer.Identity{Host: row.Host, Zone: row.Zone, Role: peer.RoleLead}
 	entry := peer.Identity{Host: row.Host, Zone: row.Zone, Role: peer.RoleEntry}
 	d.leads[row.Host], d.entry[row.Host] = spread.New(), spread.New()
-	leadNode := spread.NewNode(d.leads[row.Host], d.net.link(lead, row.Lead), spread.Config{Self: lead, Addr: row.Lead, Seeds: seeds, Store: d.store})
+	leadNode := spread.NewNode(d.leads[row.Host], d.net.link(lead, row.Lead), spread.Config{Self: lead, Addr: row.Lead, Seeds: seeds, Store: d.store.from(row.Zone)})
 	entryNode := spread.NewNode(d.entry[row.Host], d.net.link(entry, row.Entry), spread.Config{Self: entry, OwnLead: row.Lead, Seeds: seeds})
 	go func() { _ = leadNode.Run(ctx) }()
 	go func() { _ = entryNode.Run(ctx) }()
--- a/internal/spread/node.go
+++ b/internal/spread/node.go
@@ -204,7 +204,7 @@
 	defer s.work.Done()
 	switch d.kind {
 	case dutyWatch:
-		s.node.log.Info("watching the store")
+		s.node.log.Info("Watching the store.")
 		// Run ends with its context alone.
 		_ = NewWatcher(s.node.cfg.Store, s.node.board, s.node.log).Run(ctx)
 	case dutyFollow:
--- a/internal/spread/node_test.go
+++ b/internal/spread/node_test.go
@@ -115,6 +115,62 @@
 	})
 }
 
+// TestZoneCutFromStore takes the store away from one zone alone: its hosts
+// learn of changes from the other zones.
+func TestZoneCutFromStore(t *testing.T) {
+	run(t, 9, 3, func(t *testing.T, d *deployment) {
+		d.store.set("one")
+		d.startAll()
+		time.Sleep(inForce)
+		d.store.trouble("zone-a", 0)
+		const longerThanWatch = 40 * time.Second
+		time.Sleep(longerThanWatch)
+		d.store.set("two")
+		time.Sleep(inForce)
+		assert.DeepEqual(t, d.behind(spread.Settings, "two"), []string(nil))
+	})
+}
+
+// TestSlowStore lets each call take 8 s: a change arrives after one, and the
+// settings in force stay where they are meanwhile.
+func TestSlowStore(t *testing.T) {
+	const delay = 8 * time.Second
+	run(t, 6, 3, func(t *testing.T, d *deployment) {
+		d.store.set("one")
+		d.startAll()
+		time.Sleep(inForce)
+		d.store.trouble("", delay)
+		time.Sleep(time.Minute)
+		assert.DeepEqual(t, d.behind(spread.Settings, "one"), []string(nil))
+		d.store.set("two")
+		time.Sleep(delay + inForce)
+		assert.DeepEqual(t, d.behind(spread.Settings, "two"), []string(nil))
+	})
+}
+
+// TestEntryWithoutItsLead ends all lead processes of a zone but its watchers:
+// the entries of their hosts hear from the watchers.
+func TestEntryWithoutItsLead(t *testing.T) {
+	run(t, 12, 3, func(t *testing.T, d *deployment) {
+		d.store.set("one")
+		d.startAll()
+		time.Sleep(inForce)
+		watchers := spread.Watchers("zone-a", hostsOf(d.hosts, "zone-a"))
+		lost := make(map[netip.AddrPort]bool)
+		for _, row := range d.hosts {
+			if row.Zone == "zone-a" && row.Host != watchers[0] && row.Host != watchers[1] {
+				lost[row.Lead] = true
+				delete(d.leads, row.Host)
+			}
+		}
+		d.net.setCut(func(from, to netip.AddrPort) bool { return lost[from] || lost[to] })
+		time.Sleep(inForce)
+		d.store.set("two")
+		time.Sleep(inForce)
+		assert.DeepEqual(t, d.behind(spread.Settings, "two"), []string(nil))
+	})
+}
+
 func hostsOf(rows []place.HostRow, zone place.Zone) []place.Host {
 	var out []place.Host
 	for _, row := range rows {
--- a/internal/spread/push.go
+++ b/internal/spread/push.go
@@ -32,7 +32,7 @@
 				return
 			}
 			p.node.failed(sent, p.addr)
-			p.node.log.Debug("push failed", slog.String("addr", p.addr.String()), slog.Any("error", err))
+			p.node.log.Debug("Push failed.", slog.String("addr", p.addr.String()), slog.Any("error", err))
 			sleep(ctx, retryWait(p.failures))
 			p.failures++
 			continue
--- a/internal/spread/watcher.go
+++ b/internal/spread/watcher.go
@@ -139,7 +139,7 @@
 	failures := 0
 	for ctx.Err() == nil {
 		if err := w.readFleet(ctx); err != nil {
-			w.log.Debug("fleet list not read", slog.Any("error", err))
+			w.log.Debug("Fleet list not read.", slog.Any("error", err))
 			sleep(ctx, storeWait(failures))
 			failures++
 			continue
