--- /dev/null
+++ b/cmd/citrontray/deploy_test.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"citrontray.example/citrontray/internal/keys"
+	"citrontray.example/citrontray/internal/outcome"
+	"citrontray.example/citrontray/internal/peer"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/preset"
+	"citrontray.example/citrontray/internal/settings"
+	"citrontray.example/citrontray/internal/standin"
+)
+
+// deployHosts is the number of entry hosts of a script, one in each zone.
+const deployHosts = 3
+
+// Ports are taken below those that the system takes for outgoing connections.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
+// deploy is the script command that prepares a preset's deployment: targets
+// that run, hosts in the platform's list, keys, and the daemons' flags in
+// LEAD1, ENTRY1 and so on.
+func deploy(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: deploy agency|consortium")
+	}
+	p, err := preset.Get(preset.Name(args[0]))
+	ts.Check(err)
+	store, _ := ts.Value(storeKey{}).(*faultyStore)
+	store.SetFleetLag(0)
+	startTargets(ts, p, store)
+	dir := filepath.Join(ts.Getenv("WORK"), "tls")
+	addrs, err := freeAddrs(6 * deployHosts)
+	ts.Check(err)
+	seeds := make([]string, 0, deployHosts)
+	var daemons, operators, entries []string
+	for i := range deployHosts {
+		seeds = append(seeds, addrs[6*i].String())
+	}
+	for i := range deployHosts {
+		a, zone := addrs[6*i:], p.Zones[i]
+		host := place.Host(fmt.Sprintf("host-%d", i+1))
+		ts.Check(keys.MakeHost(time.Now(), dir, host, zone, []peer.Role{peer.RoleLead, peer.RoleEntry}, []netip.Addr{a[0].Addr()}))
+		store.SetHost(time.Now(), place.HostRow{Host: host, Zone: zone, Lead: a[0], Entry: a[1]})
+		common := fmt.Sprintf("--host %s --zone %s --region %s --platform %s --peers %s --keys %s",
+			host, zone, p.Region, ts.Getenv("PLATFORM"), strings.Join(seeds, ","), dir)
+		ts.Setenv(fmt.Sprintf("LEAD%d", i+1), fmt.Sprintf(
+			"%s --peer-address %s --admin-address %s --operator-address %s --operator-bootstrap %s",
+			common, a[0], a[2], a[3], settings.HashText(settings.HashCredential(bootstrap))))
+		ts.Setenv(fmt.Sprintf("ENTRY%d", i+1), fmt.Sprintf(
+			"%s --peer-address %s --admin-address %s --lead %s --http-address %s --stop-notice 10ms",
+			common, a[1], a[4], a[0], a[5]))
+		daemons = append(daemons, a[2].String(), a[4].String())
+		operators = append(operators, a[3].String())
+		entries = append(entries, a[5].String())
+	}
+	ts.Setenv("CITRONTRAY_DAEMONS", strings.Join(daemons, ","))
+	ts.Setenv("CITRONTRAY_OPERATORS", strings.Join(operators, ","))
+	ts.Setenv("ENTRIES", strings.Join(entries, ","))
+}
+
+// startTargets starts the preset's targets until the script ends. At the end,
+// the targets' own record must show no key owned twice.
+func startTargets(ts *testscript.TestScript, p preset.Preset, store *faultyStore) {
+	groups := make([]standin.Group, 0, len(p.Services))
+	for _, s := range p.Services {
+		groups = append(groups, standin.Group{Count: s.Targets, TargetConfig: standin.TargetConfig{
+			Service: s.Name, Slots: 3, Connections: 130, Work: time.Millisecond, ChecksTerms: true,
+		}})
+	}
+	farm := standin.NewFarm(groups, p.Zones)
+	ts.Check(farm.Start())
+	ts.Defer(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		farm.Stop(ctx)
+		if found := farm.Ledger.Findings(); len(found) > 0 {
+			ts.Fatalf("targets: %s", strings.Join(found, "; "))
+		}
+	})
+	farm.Register(time.Now(), store.Platform)
+}
+
+// freeAddrs returns loopback addresses whose ports are free for TCP and UDP.
+func freeAddrs(count int) ([]netip.AddrPort, error) {
+	const tries = 1000
+	var out []netip.AddrPort
+	for range tries {
+		if len(out) == count {
+			return out, nil
+		}
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+rand.IntN(lastPort-firstPort)))
+		listener, err := net.Listen("tcp", addr.String())
+		if err != nil {
+			continue
+		}
+		defer func() { _ = listener.Close() }()
+		packets, err := net.ListenPacket("udp", addr.String())
+		if err != nil {
+			continue
+		}
+		defer func() { _ = packets.Close() }()
+		out = append(out, addr)
+	}
+	return nil, fmt.Errorf("%d of %d free ports found", len(out), count)
+}
+
+// request is the script command that makes a caller's request at each entry
+// host in turn: request METHOD PATH CALLER OUTCOME.
+func request(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 4 {
+		ts.Fatalf("usage: request METHOD PATH CALLER OUTCOME")
+	}
+	for _, addr := range strings.Split(ts.Getenv("ENTRIES"), ",") {
+		ctx, cancel := context.WithTimeout(context.Background(), awaitBound)
+		r, err := http.NewRequestWithContext(ctx, args[0], "http://"+addr+args[1], http.NoBody)
+		ts.Check(err)
+		r.Header.Set("Authorization", "Bearer "+preset.Credential(settings.Caller(args[2])))
+		answer, err := http.DefaultClient.Do(r)
+		ts.Check(err)
+		body, err := io.ReadAll(answer.Body)
+		answer.Body.Close()
+		cancel()
+		ts.Check(err)
+		if got := answer.Header.Get(outcome.Header); got != args[3] {
+			ts.Fatalf("%s %s of %s at %s: %s (%s), want %s\n%s", args[0], args[1], args[2], addr,
+				got, answer.Header.Get(outcome.HeaderReason), args[3], body)
+		}
+	}
+}
--- a/cmd/citrontray/script_test.go
+++ b/cmd/citrontray/script_test.go
@@ -15,8 +15,10 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"golang.org/x/sync/errgroup"
 
+	"citrontray.example/citrontray/internal/entry"
 	"citrontray.example/citrontray/internal/journal"
 	"citrontray.example/citrontray/internal/keys"
+	"citrontray.example/citrontray/internal/lead"
 	"citrontray.example/citrontray/internal/operator"
 	"citrontray.example/citrontray/internal/peer"
 	"citrontray.example/citrontray/internal/platform"
@@ -34,7 +36,11 @@
 const awaitBound = 30 * time.Second
 
 func TestMain(m *testing.M) {
-	testscript.Main(m, map[string]func(){"citrontray": main})
+	testscript.Main(m, map[string]func(){
+		"citrontray":       main,
+		"citrontray-lead":  func() { os.Exit(lead.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"citrontray-entry": func() { os.Exit(entry.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
 }
 
 func TestScripts(t *testing.T) {
@@ -43,8 +49,10 @@
 		RequireExplicitExec: true,
 		Setup:               setUp,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"store": storeFaults,
-			"await": awaitSettings,
+			"store":   storeFaults,
+			"await":   awaitSettings,
+			"deploy":  deploy,
+			"request": request,
 		},
 	})
 }
@@ -103,7 +111,7 @@
 	env.Setenv("CITRONTRAY_OPERATORS", api)
 	env.Setenv("CITRONTRAY_CREDENTIAL", bootstrap)
 	env.Setenv("CITRONTRAY_AUTHORITY", filepath.Join(env.WorkDir, "tls", keys.AuthorityFile))
-	env.Setenv("CITRONTRAY_HOSTS", pages)
+	env.Setenv("CITRONTRAY_DAEMONS", pages)
 	env.Setenv("PLATFORM", platformAddr)
 	for _, name := range preset.All() {
 		p, err := preset.Get(name)
--- a/internal/command/connection.go
+++ b/internal/command/connection.go
@@ -23,12 +23,12 @@
 
 // connection holds the flags that say whom to reach and how to answer.
 type connection struct {
-	operators, platform, hosts string
-	authority                  string
-	credential, output         string
-	timeout                    time.Duration
+	operators, platform, daemons string
+	authority                    string
+	credential, output           string
+	timeout                      time.Duration
 
-	operatorAddrs, platformAddrs, hostAddrs []netip.AddrPort
+	operatorAddrs, platformAddrs, daemonAddrs []netip.AddrPort
 }
 
 func (c *connection) setFlags(f *flag.FlagSet) {
@@ -36,7 +36,7 @@
 	f.StringVar(&c.credential, "credential", "", "bearer credential for --operators; best set by the environment")
 	f.StringVar(&c.authority, "authority", "", "file with the authority's certificate, ca.pem, that the hosts' certificates come from")
 	f.StringVar(&c.platform, "platform", "", "addresses of the platform's service, to reach it directly instead of --operators")
-	f.StringVar(&c.hosts, "hosts", "", "admin addresses of the daemons, for status, explain and top")
+	f.StringVar(&c.daemons, "daemons", "", "admin addresses of the daemons, for status, explain and top")
 	f.StringVar(&c.output, "output", outputTable, "table or json")
 	f.DurationVar(&c.timeout, "timeout", defaultTimeout, "bound on each call")
 }
@@ -46,7 +46,7 @@
 	var found finding.List
 	c.operatorAddrs = addresses(&found, "--operators", c.operators)
 	c.platformAddrs = addresses(&found, "--platform", c.platform)
-	c.hostAddrs = addresses(&found, "--hosts", c.hosts)
+	c.daemonAddrs = addresses(&found, "--daemons", c.daemons)
 	if c.output != outputTable && c.output != outputJSON {
 		found.Add("--output", c.output+" is not a form", "table or json")
 	}
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -32,10 +32,10 @@
 
 // collect asks the daemons; it fails where none answers.
 func (c *command) collect(ctx context.Context, q status.Query) ([]status.Answer, error) {
-	if len(c.hostAddrs) == 0 {
-		return nil, inputf("--hosts", "is required: the admin addresses of the daemons")
+	if len(c.daemonAddrs) == 0 {
+		return nil, inputf("--daemons", "is required: the admin addresses of the daemons")
 	}
-	answers := status.Collect(ctx, c.hostAddrs, q, c.timeout)
+	answers := status.Collect(ctx, c.daemonAddrs, q, c.timeout)
 	for _, a := range answers {
 		if a.Err == nil {
 			return answers, nil
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -143,7 +143,10 @@
 				seen.Before = append(seen.Before, w.Before[i])
 			}
 		}
-		if len(seen.Paths) > 0 {
+		// A write that changed nothing is shown to its writer and to those who
+		// see all.
+		own := len(w.Paths) == 0 && (w.By == who.name || who.may("platform") && who.may("teams"))
+		if len(seen.Paths) > 0 || own {
 			history = append(history, seen)
 		}
 	}
