Reach a crashed and restarted process at once

Cause: a process that starts at the address of a crashed one answers old connections with a stateless reset, but only packets larger than 42 bytes, and a message with a small body was smaller. Its caller waited for the idle timeout.

Messages now are at least 24 bytes before encryption.

--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -16,8 +16,13 @@
 
 const (
 	// requestHeaderSize: one byte for the kind, four for the timeout in
-	// milliseconds, in network order.
-	requestHeaderSize = 5
+	// milliseconds, in network order, the rest zero. The zeros make the
+	// smallest message larger than 42 bytes on the wire: a restarted process
+	// answers nothing smaller with a stateless reset, and the caller would
+	// hold on to the old connection until its idle timeout.
+	requestHeaderSize = 24
+	// usedHeaderSize is the part of the header that is not zero.
+	usedHeaderSize = 5
 	// answerHeaderSize: one byte for the status.
 	answerHeaderSize = 1
 	// maxErrorText bounds the text of a RemoteError, in bytes.
@@ -59,7 +64,9 @@
 func appendRequestHeader(dst []byte, kind Kind, timeout time.Duration) []byte {
 	dst = append(dst, byte(kind))
 	millis := min(max(timeout.Milliseconds(), 1), maxTimeout.Milliseconds())
-	return binary.BigEndian.AppendUint32(dst, uint32(millis))
+	dst = binary.BigEndian.AppendUint32(dst, uint32(millis))
+	var zeros [requestHeaderSize - usedHeaderSize]byte
+	return append(dst, zeros[:]...)
 }
 
 func readRequest(r io.Reader) (request, error) {
@@ -71,7 +78,7 @@
 	if err != nil {
 		return request{}, err
 	}
-	timeout := time.Duration(binary.BigEndian.Uint32(header[1:])) * time.Millisecond
+	timeout := time.Duration(binary.BigEndian.Uint32(header[1:usedHeaderSize])) * time.Millisecond
 	return request{kind: Kind(header[0]), timeout: min(timeout, maxTimeout), body: body}, nil
 }
 
--- /dev/null
+++ b/internal/peer/loss_test.go
@@ -0,0 +1,111 @@
+package peer_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/peer"
+)
+
+// lossy is a socket that drops a part of what is sent.
+type lossy struct {
+	net.PacketConn
+
+	percent atomic.Int64
+	mu      sync.Mutex
+	random  *rand.Rand
+}
+
+func newLossy(t *testing.T, at netip.AddrPort, percent int64) *lossy {
+	t.Helper()
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	assert.NilError(t, err)
+	l := &lossy{PacketConn: conn, random: rand.New(rand.NewPCG(1, 2))}
+	l.percent.Store(percent)
+	return l
+}
+
+func (l *lossy) WriteTo(p []byte, addr net.Addr) (int, error) {
+	const all = 100
+	l.mu.Lock()
+	drop := l.random.Int64N(all) < l.percent.Load()
+	l.mu.Unlock()
+	if drop {
+		return len(p), nil
+	}
+	return l.PacketConn.WriteTo(p, addr)
+}
+
+func startOn(t *testing.T, m peer.Credentials, conn net.PacketConn) *peer.Peer {
+	t.Helper()
+	p, err := peer.New(peer.Config{Conn: conn, Keys: m})
+	assert.NilError(t, err)
+	p.Handle(peer.KindSpread, echo)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = p.Run(t.Context())
+	}()
+	t.Cleanup(func() { <-done })
+	return p
+}
+
+// TestCallsSurviveLostPackets drops a tenth of all packets both ways.
+func TestCallsSurviveLostPackets(t *testing.T) {
+	const (
+		percent = 10
+		calls   = 100
+		timeout = 30 * time.Second
+	)
+	dir := authority(t)
+	server := startOn(t, material(t, dir, "h1", peer.RoleLead), newLossy(t, anyPort(), percent))
+	client := startOn(t, material(t, dir, "h2", peer.RoleEntry), newLossy(t, anyPort(), percent))
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	eventually(t, "connected", func() bool {
+		_, err := client.Call(ctx, server.Addr(), peer.KindSpread, nil)
+		return err == nil
+	})
+	slowest := time.Duration(0)
+	for range calls {
+		sent := time.Now()
+		answer, err := client.Call(ctx, server.Addr(), peer.KindSpread, make([]byte, 10_000))
+		assert.NilError(t, err)
+		assert.Equal(t, len(answer), 10_000+len("h2/entry:"))
+		slowest = max(slowest, time.Since(sent))
+	}
+	t.Logf("slowest of %d calls: %v", calls, slowest)
+}
+
+// TestCrashAndRestartAtSameAddress loses a process without a word and starts
+// another at its address: the new one's resets end the old connection.
+func TestCrashAndRestartAtSameAddress(t *testing.T) {
+	const silent = 100
+	dir := authority(t)
+	m := material(t, dir, "h1", peer.RoleLead)
+	socket := newLossy(t, anyPort(), 0)
+	first := startOn(t, m, socket)
+	at := first.Addr()
+	client := startOn(t, material(t, dir, "h2", peer.RoleEntry), newLossy(t, anyPort(), 0))
+	_, err := client.Call(t.Context(), at, peer.KindSpread, nil)
+	assert.NilError(t, err)
+	socket.percent.Store(silent)
+	_ = first.Close()
+	startOn(t, m, newLossy(t, at, 0))
+	begin := time.Now()
+	eventually(t, "the new process answers", func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		_, err := client.Call(ctx, at, peer.KindSpread, nil)
+		return err == nil
+	})
+	t.Logf("answered after %v", time.Since(begin))
+}
