Release the parent of a solo key where the key moved

Cause: a solo key may be released only once its owner has given its parent shard up at the epochs that still held the key. A target that the key moved to had never held the parent, so its floor stayed at 0 and the two waited for each other. After: the release order names the parent too, which raises the floor; the added test fails without it.

--- a/internal/cell/maintain.go
+++ b/internal/cell/maintain.go
@@ -211,13 +211,25 @@
 // parentEnded reports, for a solo key, whether its owner has also given up the
 // parent shard at the epochs that still included the key.
 func (c *Cell) parentEnded(r Row) bool {
+	_, open := c.openParent(r)
+	return !open
+}
+
+// openParent returns, for a solo key, the parent shard at the last epoch that
+// included the key, unless the owner has given that up. An owner that the key
+// was moved to may never have held the parent: only a release raises its floor.
+func (c *Cell) openParent(r Row) (grant.Held, bool) {
 	i := slices.IndexFunc(c.doc.Solos, func(s Solo) bool { return s.Shard == r.Shard })
 	if i < 0 || c.knobs.noParentCheck {
-		return true
+		return grant.Held{}, false
 	}
 	solo := c.doc.Solos[i]
 	t := &c.targets[r.Owner]
-	return t.holds(solo.Parent) >= solo.Cut || t.holds(solo.Parent) == 0 && t.floor(solo.Parent) >= solo.Cut
+	held := t.holds(solo.Parent)
+	if held >= solo.Cut || held == 0 && t.floor(solo.Parent) >= solo.Cut {
+		return grant.Held{}, false
+	}
+	return grant.Held{Shard: solo.Parent, Epoch: solo.Cut - 1}, true
 }
 
 // raiseEpochs follows an owner that refuses the recorded epoch, because an
--- a/internal/cell/order.go
+++ b/internal/cell/order.go
@@ -84,8 +84,12 @@
 	var out []grant.Held
 	for i := range c.doc.Rows {
 		r := c.row(i)
-		if r.Owner == t && c.rows[i].releasing {
-			out = append(out, grant.Held{Shard: r.Shard, Epoch: r.Epoch})
+		if r.Owner != t || !c.rows[i].releasing {
+			continue
+		}
+		out = append(out, grant.Held{Shard: r.Shard, Epoch: r.Epoch})
+		if parent, ok := c.openParent(r); ok {
+			out = append(out, parent)
 		}
 	}
 	state := &c.targets[t]
--- a/internal/cell/solo_test.go
+++ b/internal/cell/solo_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -25,3 +26,27 @@
 		}
 	}
 }
+
+// TestSoloKeyIsGivenUpWhereItMoved: a solo key was moved to a target that had
+// never held its parent shard; when custody of the shard went away, the key
+// and the parent waited for each other for ever.
+func TestSoloKeyIsGivenUpWhereItMoved(t *testing.T) {
+	w := newWorld(options{seed: 1, hosts: 3, targets: 4, calm: true, length: time.Hour})
+	w.until(4 * time.Second)
+	parent := w.doc.Rows[0].Shard
+	hash := key.Hash(uint64(parent) << 62) // the first key of one of four shards
+	to := w.doc.Targets[(w.doc.Rows[0].Owner+1)%4].Target
+	for _, h := range w.hosts {
+		w.handle(h, h.life, PlanSeen{Moves: []PlannedMove{{Shard: parent, To: to, Solo: hash, Cut: true}}})
+	}
+	w.until(w.now + 5*time.Second)
+	assert.Equal(t, len(w.doc.Solos), 1)
+	solo := w.doc.Rows[w.doc.rowOf(w.doc.Solos[0].Shard)]
+	assert.Equal(t, w.doc.Targets[solo.Owner].Target, to)
+
+	w.changeCustody(parent, 0, false)
+	w.until(w.now + 10*time.Second)
+	assert.Equal(t, w.failure, "")
+	assert.Equal(t, len(w.doc.Solos), 0)
+	assert.Equal(t, w.doc.rowOf(parent), -1)
+}
