--- a/internal/lab/bench.go
+++ b/internal/lab/bench.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"log/slog"
 	"net/netip"
 	"os"
 
@@ -81,7 +82,8 @@
 	return o.exit(nil)
 }
 
-// config reads the flags and the files that they name.
+// config reads the flags and the files that they name. All findings come
+// together.
 func (c *benchCommand) config(o output) (bench.Config, error) {
 	var findings finding.List
 	scenario, ok := bench.Find(bench.Name(c.scenario))
@@ -99,14 +101,7 @@
 	if err != nil {
 		findings.Add("--hosts", err.Error(), "see scripts/bench.sh")
 	}
-	p, err := getPreset(c.preset)
-	if err != nil {
-		return bench.Config{}, err
-	}
-	s, err := p.Settings()
-	if err != nil {
-		return bench.Config{}, err
-	}
+	p, s := readPreset(&findings, c.preset)
 	return bench.Config{
 		Scenario:  scenario,
 		Preset:    p,
@@ -116,6 +111,6 @@
 		Director:  bench.NewDirector(os.NewFile(requestsFile, "requests"), os.NewFile(answersFile, "answers")),
 		Processes: c.processes,
 		Seed:      c.seed,
-		Log:       journal.Part(journal.New(o.errOut, 0, false), "bench"),
+		Log:       journal.Part(journal.New(o.errOut, slog.LevelInfo, false), "bench"),
 	}, findings.Err()
 }
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"time"
@@ -11,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"citrontray.example/citrontray/internal/bench"
+	"citrontray.example/citrontray/internal/finding"
 	"citrontray.example/citrontray/internal/load"
 	"citrontray.example/citrontray/internal/standin"
 )
@@ -55,14 +55,14 @@
 }
 
 func (c *loadCommand) run(ctx context.Context, o output) error {
-	targets, errTargets := address("--targets", c.targets)
-	hosts, errHosts := bench.ReadHosts(c.hosts)
-	p, errPreset := getPreset(c.preset)
-	if err := errors.Join(errTargets, errHosts, errPreset); err != nil {
-		return err
-	}
-	s, err := p.Settings()
+	var findings finding.List
+	targets := address(&findings, "--targets", c.targets)
+	p, s := readPreset(&findings, c.preset)
+	hosts, err := bench.ReadHosts(c.hosts)
 	if err != nil {
+		findings.Add("--hosts", err.Error(), "see scripts/cluster.sh")
+	}
+	if err := findings.Err(); err != nil {
 		return err
 	}
 	balancer := load.NewBalancer(bench.EntryHosts(hosts))
@@ -125,8 +125,9 @@
 // Execute implements subcommands.Command.
 func (c *checkCommand) Execute(ctx context.Context, _ *flag.FlagSet, args ...any) subcommands.ExitStatus {
 	o := outputOf(args)
-	addr, err := address("--targets", c.targets)
-	if err != nil {
+	var found finding.List
+	addr := address(&found, "--targets", c.targets)
+	if err := found.Err(); err != nil {
 		return o.exit(err)
 	}
 	counts, findings, err := standin.NewRemote(addr).Ledger(ctx)
--- a/internal/lab/preset.go
+++ b/internal/lab/preset.go
@@ -13,6 +13,7 @@
 	"citrontray.example/citrontray/internal/bench"
 	"citrontray.example/citrontray/internal/finding"
 	"citrontray.example/citrontray/internal/preset"
+	"citrontray.example/citrontray/internal/settings"
 )
 
 // maxPorts bounds the free ports that one call finds, portTries how many are
@@ -50,26 +51,31 @@
 // Execute implements subcommands.Command.
 func (c *presetCommand) Execute(_ context.Context, _ *flag.FlagSet, args ...any) subcommands.ExitStatus {
 	o := outputOf(args)
-	p, err := getPreset(c.name)
-	if err != nil {
+	var findings finding.List
+	p, _ := readPreset(&findings, c.name)
+	if err := findings.Err(); err != nil {
 		return o.exit(err)
 	}
-	_, err = o.out.Write(p.File)
+	_, err := o.out.Write(p.File)
 	return o.exit(err)
 }
 
-// getPreset returns a preset or a sized deployment, or a finding.
-func getPreset(name string) (preset.Preset, error) {
-	if p, ok := sized(name); ok {
-		return p, nil
+// readPreset returns a preset, or a sized deployment, and its settings; what is
+// wrong with the name is a finding.
+func readPreset(findings *finding.List, name string) (preset.Preset, *settings.Settings) {
+	p, ok := sized(name)
+	if !ok {
+		var err error
+		if p, err = preset.Get(preset.Name(name)); err != nil {
+			findings.Add("--preset", err.Error(), "see citrontray-lab preset --help")
+			return p, nil
+		}
 	}
-	p, err := preset.Get(preset.Name(name))
+	s, err := p.Settings()
 	if err != nil {
-		var findings finding.List
-		findings.Add("--preset", err.Error(), "see citrontray-lab preset --help")
-		return p, findings.Err()
+		findings.Add("--preset", err.Error(), "")
 	}
-	return p, nil
+	return p, s
 }
 
 // portsCommand prints free ports.
--- a/internal/lab/standin.go
+++ b/internal/lab/standin.go
@@ -53,19 +53,21 @@
 // Execute implements subcommands.Command.
 func (c *platformCommand) Execute(ctx context.Context, _ *flag.FlagSet, args ...any) subcommands.ExitStatus {
 	o := outputOf(args)
-	addr, err := address("--address", c.address)
-	if err != nil {
+	var findings finding.List
+	addr := address(&findings, "--address", c.address)
+	var hosts []bench.Host
+	if c.hosts != "" {
+		var err error
+		if hosts, err = bench.ReadHosts(c.hosts); err != nil {
+			findings.Add("--hosts", err.Error(), "see scripts/cluster.sh")
+		}
+	}
+	if err := findings.Err(); err != nil {
 		return o.exit(err)
 	}
 	p := standin.NewPlatform()
-	if c.hosts != "" {
-		hosts, err := bench.ReadHosts(c.hosts)
-		if err != nil {
-			return o.exit(err)
-		}
-		for _, host := range hosts {
-			p.SetHost(time.Now(), host.Row(place.Live))
-		}
+	for _, host := range hosts {
+		p.SetHost(time.Now(), host.Row(place.Live))
 	}
 	store, admin := platform.NewHandler(p), standin.NewPlatformAdmin(p)
 	return o.exit(serve(ctx, addr, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -104,17 +106,11 @@
 }
 
 func (c *targetsCommand) run(ctx context.Context) error {
-	admin, errAdmin := address("--address", c.address)
-	store, errStore := address("--platform", c.platform)
-	if err := errors.Join(errAdmin, errStore); err != nil {
-		return err
-	}
-	p, err := getPreset(c.preset)
-	if err != nil {
-		return err
-	}
-	s, err := p.Settings()
-	if err != nil {
+	var findings finding.List
+	admin := address(&findings, "--address", c.address)
+	store := address(&findings, "--platform", c.platform)
+	p, s := readPreset(&findings, c.preset)
+	if err := findings.Err(); err != nil {
 		return err
 	}
 	farm := standin.NewFarm(load.Groups(p, s, 1), p.Zones)
@@ -128,7 +124,7 @@
 	if err := standin.NewRemote(store).SetTargets(ctx, rows); err != nil {
 		return err
 	}
-	err = serve(ctx, admin, standin.NewFarmAdmin(farm))
+	err := serve(ctx, admin, standin.NewFarmAdmin(farm))
 	stop, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	farm.Stop(stop)
@@ -136,14 +132,12 @@
 }
 
 // address parses the value of a flag.
-func address(name, value string) (netip.AddrPort, error) {
+func address(findings *finding.List, name, value string) netip.AddrPort {
 	addr, err := netip.ParseAddrPort(value)
-	if err == nil {
-		return addr, nil
+	if err != nil {
+		findings.Add(name, fmt.Sprintf("%q is not an address", value), "write IP:PORT")
 	}
-	var findings finding.List
-	findings.Add(name, fmt.Sprintf("%q is not an address", value), "write IP:PORT")
-	return addr, findings.Err()
+	return addr
 }
 
 // serve serves until ctx ends.
