--- a/cmd/citrontray/deploy_test.go
+++ b/cmd/citrontray/deploy_test.go
@@ -48,7 +48,9 @@
 	addrs, err := freeAddrs(6 * deployHosts)
 	ts.Check(err)
 	seeds := make([]string, 0, deployHosts)
-	var daemons, operators, entries []string
+	daemons := make([]string, 0, 2*deployHosts)
+	operators := make([]string, 0, deployHosts)
+	entries := make([]string, 0, deployHosts)
 	for i := range deployHosts {
 		seeds = append(seeds, addrs[6*i].String())
 	}
