--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -42,6 +42,16 @@
   esac
 }
 
+# change_settings sets FIELD=VALUE of all services, where CHANGE says so:
+# CHANGE=moves=0 compares with the static layout.
+change_settings() {
+  local path
+  [ -n "${CHANGE:-}" ] || return 0
+  for path in $(grep -o '^teams/[^:]*/services/[^:]*' "$RUN/settings.yaml"); do
+    "$BIN/citrontray" set --platform "$PLATFORM" --reason "$CHANGE" "$path" "$CHANGE" >>"$RUN/operators.log" 2>&1 || return 1
+  done
+}
+
 # serve_request does one thing that the lab process asks for.
 serve_request() {
   case $1 in
@@ -49,6 +59,7 @@
       SEEDS=$2
       "$BIN/citrontray-lab" preset --name "$PRESET" >"$RUN/settings.yaml" &&
         "$BIN/citrontray" apply -f "$RUN/settings.yaml" --platform "$PLATFORM" --reason "first settings" >>"$RUN/operators.log" 2>&1 &&
+        change_settings &&
         start_all
       ;;
     start | stop) "$1" "$2" "$3" ;;
--- a/scripts/measures.sh
+++ b/scripts/measures.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs scenarios of the bench and prints a row of docs/MEASURES.md for each:
 #   SCENARIO="steady targetloss" PRESET=agency scripts/measures.sh
-# A row carries the commit that was built, with a + where the tree had changes.
+# CHANGE=moves=0 sets a field of all services first. A row carries the commit that was built, with a + where the tree had changes.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 HOSTS=${HOSTS:-9}
@@ -12,7 +12,7 @@
 for preset in ${PRESET:-agency consortium}; do
   for scenario in ${SCENARIO:-$(bin/citrontray-lab scenarios | cut -d' ' -f1)}; do
     report=$(HOSTS=$HOSTS scripts/bench.sh "$scenario" "$preset") && result=held || { result=FAILED && STATUS=1; }
-    row="| $COMMIT | $scenario | $preset | $HOSTS |"
+    row="| $COMMIT | $scenario${CHANGE:+ $CHANGE} | $preset | $HOSTS |"
     for name in $COLUMNS_SHOWN; do
       row+=" $(awk -v n="$name" '$1 == n {print $2}' <<<"$report") |"
     done
