--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -40,6 +40,7 @@
 		c.delegation(&s.Grants[i])
 	}
 	c.overlaps()
+	c.ambiguities()
 	c.credentials()
 }
 
@@ -217,26 +218,58 @@
 // overlaps records routes to one service whose keys overlap although their
 // teams or tenants differ: each would see what belongs to the other.
 func (c *checker) overlaps() {
+	byService := make(map[key.Service][]*Route, len(c.services))
 	for i := range c.Routes {
-		for j := range i {
-			a, b := &c.Routes[j], &c.Routes[i]
-			if a.Service != b.Service || !prefixesOverlap(a.KeyPrefix, b.KeyPrefix) {
-				continue
+		b := &c.Routes[i]
+		for _, a := range byService[b.Service] {
+			if prefixesOverlap(a.KeyPrefix, b.KeyPrefix) {
+				c.overlap(a, b)
 			}
-			// The finding stands at the route that is being written. Rivals
-			// do not learn each other's names from it.
-			if c.items[routePath(b)].At.Line == 0 && c.items[routePath(a)].At.Line > 0 {
-				a, b = b, a
-			}
-			switch {
-			case a.Team != b.Team:
-				c.add(routePath(b), "prefix", "overlaps the keys of another team's route to "+string(b.Service), "neither prefix may start with the other")
-			case !c.sameTenant(a, b):
-				c.add(routePath(b), "prefix", "gives another tenant the keys of "+string(routePath(a)), "neither prefix may start with the other")
-			}
-			if c.ambiguous(a, b) {
-				c.add(routePath(b), "path", "takes the same requests as "+string(routePath(a)), "a caller's method and path must lead to one route")
+		}
+		byService[b.Service] = append(byService[b.Service], b)
+	}
+}
+
+// overlap records what is wrong with two routes to one service whose keys
+// overlap.
+func (c *checker) overlap(a, b *Route) {
+	a, b = c.written(a, b)
+	switch {
+	case a.Team != b.Team:
+		// Rivals do not learn each other's names from it.
+		c.add(routePath(b), "prefix", "overlaps the keys of another team's route to "+string(b.Service), "neither prefix may start with the other")
+	case !c.sameTenant(a, b):
+		c.add(routePath(b), "prefix", "gives another tenant the keys of "+string(routePath(a)), "neither prefix may start with the other")
+	}
+}
+
+// written orders two routes so that a finding stands at the one that is being
+// written.
+func (c *checker) written(a, b *Route) (other, at *Route) {
+	if c.items[routePath(b)].At.Line == 0 && c.items[routePath(a)].At.Line > 0 {
+		return b, a
+	}
+	return a, b
+}
+
+// ambiguities records routes of one caller that take the same requests, also
+// where they lead to different services.
+func (c *checker) ambiguities() {
+	byCaller := make(map[Caller][]*Route, len(c.callers))
+	type pair struct{ a, b *Route }
+	seen := make(map[pair]bool)
+	for i := range c.Routes {
+		b := &c.Routes[i]
+		for _, caller := range b.Callers {
+			for _, a := range byCaller[caller] {
+				if a == b || seen[pair{a, b}] || !ambiguous(a, b) {
+					continue
+				}
+				seen[pair{a, b}] = true
+				other, at := c.written(a, b)
+				c.add(routePath(at), "path", "takes the same requests as "+string(routePath(other)), "a caller's method and path must lead to one route")
 			}
+			byCaller[caller] = append(byCaller[caller], b)
 		}
 	}
 }
@@ -254,13 +287,10 @@
 	return len(tenants) <= 1
 }
 
-// ambiguous reports whether one request could match both routes.
-func (c *checker) ambiguous(a, b *Route) bool {
-	shares := func(x, y []string) bool {
-		return slices.ContainsFunc(x, func(v string) bool { return slices.Contains(y, v) })
-	}
-	callers := slices.ContainsFunc(a.Callers, func(v Caller) bool { return slices.Contains(b.Callers, v) })
-	return callers && shares(a.Methods, b.Methods) && patternsMeet(a.Path, b.Path)
+// ambiguous reports whether one request of a caller of both could match both.
+func ambiguous(a, b *Route) bool {
+	shared := slices.ContainsFunc(a.Methods, func(m string) bool { return slices.Contains(b.Methods, m) })
+	return shared && patternsMeet(a.Path, b.Path)
 }
 
 // patternsMeet reports whether some path matches both patterns.
--- a/internal/settings/codec.go
+++ b/internal/settings/codec.go
@@ -131,9 +131,8 @@
 			continue
 		}
 		item := Item{Path: Path(w.Path)}
-		known := k.describe()
 		for _, f := range w.Fields {
-			if !known.has(f.Name) {
+			if !k.has(f.Name) {
 				newer = true
 				continue
 			}
@@ -144,16 +143,6 @@
 	return items, newer
 }
 
-// has reports whether the kind has a field of that name.
-func (k Kind) has(name string) bool {
-	for _, f := range k.Fields {
-		if f.Name == name {
-			return true
-		}
-	}
-	return false
-}
-
 func toWire(item Item) wireItem {
 	w := wireItem{Path: string(item.Path)}
 	for _, f := range item.Fields {
--- a/internal/settings/kind.go
+++ b/internal/settings/kind.go
@@ -15,6 +15,8 @@
 	read(s *Settings, item Item, found *finding.List)
 	items(s *Settings) []Item
 	describe() Kind
+	// has reports whether the kind has a field of that name.
+	has(field string) bool
 }
 
 // form tells how the value of a field is written.
@@ -105,12 +107,22 @@
 // unknown reports the fields that the kind does not have.
 func (t *table[R]) unknown(item Item, found *finding.List) {
 	for _, f := range item.Fields {
-		if !slices.ContainsFunc(t.fields, func(k field[R]) bool { return k.name == f.Name }) {
+		if !t.has(f.Name) {
 			found.Add(item.place(f.Name), "is not a field here", "see the settings reference")
 		}
 	}
 }
 
+// has implements kind.
+func (t *table[R]) has(name string) bool {
+	for i := range t.fields {
+		if t.fields[i].name == name {
+			return true
+		}
+	}
+	return false
+}
+
 // items implements kind.
 func (t *table[R]) items(s *Settings) []Item {
 	rows := *t.rows(s)
--- a/internal/settings/parse_test.go
+++ b/internal/settings/parse_test.go
@@ -42,6 +42,8 @@
 		"twice":          {service + "teams/b/services/s: {zones: [z]}", []string{"has the name of another service"}},
 		"path twice":     {"a: {}\nb: {}\na: {}\n", []string{"already defined"}},
 		"same requests":  {service + caller + "teams/a/routes/r: {" + route + "}\nteams/a/routes/q: {" + route + "}", []string{"takes the same requests as teams/a/routes/q"}},
+		"other service":  {service + "teams/a/services/q: {zones: [z]}\n" + caller + "teams/a/routes/r: {" + route + "}\nteams/a/routes/q: {" + strings.Replace(route, "service: s", "service: q", 1) + "}", []string{"takes the same requests as teams/a/routes/q"}},
+		"other prefix":   {service + caller + "teams/a/routes/r: {" + route + ", prefix: a}\nteams/a/routes/q: {" + route + ", prefix: b}", []string{"takes the same requests as teams/a/routes/q"}},
 		"not shared":     {strings.ReplaceAll(service, "/a/", "/b/") + caller + "teams/a/routes/r: {" + route + "}", []string{"that it does not share"}},
 		"prefix":         {"teams/b/services/s: {zones: [z], shares: ['a=a-']}\n" + caller + "teams/a/routes/r: {" + route + "}", []string{"prefix at 3:1: does not start with a-"}},
 		"shares overlap": {"teams/b/services/s: {zones: [z], shares: ['a=a', 'c=ab']}\n", []string{"prefixes that overlap"}},
