--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -36,14 +36,17 @@
 // world is a service under load, second by second.
 type world struct {
 	random *rand.Rand
-	now    time.Time
-	layout placement.Layout
-	rowOf  map[key.Shard]int
-	soloOf map[key.Hash]key.Shard
-	next   key.Shard
-	cold   []key.Hash
-	hot    []key.Hash
-	share  []float64 // of the hot keys, in the whole load
+	// offsets draws the arrival times within a second, apart from all else.
+	offsets *rand.Rand
+	now     time.Time
+	layout  placement.Layout
+	rowOf   map[key.Shard]int
+	soloOf  map[key.Hash]key.Shard
+	next    key.Shard
+	cold    []key.Hash
+	hot     []key.Hash
+	share   []float64 // of the hot keys, in the whole load
+	queues  map[int]*queue
 	scene
 }
 
@@ -66,8 +69,9 @@
 	seed, hotShare := sc.seed, sc.hotShare
 	w := &world{
 		scene:  sc,
-		random: rand.New(rand.NewPCG(seed, 0)), now: simStart, next: simShards,
+		random: rand.New(rand.NewPCG(seed, 0)), offsets: rand.New(rand.NewPCG(seed, 1)), now: simStart, next: simShards,
 		rowOf: make(map[key.Shard]int), soloOf: make(map[key.Hash]key.Shard),
+		queues: make(map[int]*queue),
 	}
 	for i := range simTargets {
 		w.layout.Targets = append(w.layout.Targets, placement.TargetRow{Target: place.Target(fmt.Sprintf("t%02d", i)), Weight: 1})
@@ -138,11 +142,13 @@
 	sketch := topk.New(2 * placement.MaxHot)
 	count := func(h key.Hash, rate float64) {
 		shard := w.shardOf(h)
-		truth[w.layout.Rows[w.rowOf[shard]].Owner] += rate * w.service.Seconds()
+		owner := w.layout.Rows[w.rowOf[shard]].Owner
+		truth[owner] += rate * w.service.Seconds()
 		n := w.poisson(rate)
 		if n == 0 {
 			return
 		}
+		w.arrive(owner, n)
 		requests[shard] += n
 		if shard < simShards {
 			sketch.Add(h, uint64(n)*uint64(w.service))
@@ -156,6 +162,9 @@
 	for _, h := range w.cold {
 		count(h, perSecond*(1-hotShare)/simCold)
 	}
+	for _, q := range w.queues {
+		q.serve(w.service)
+	}
 	r := placement.Report{Period: time.Second}
 	for shard, n := range requests {
 		r.Shards = append(r.Shards, placement.ShardLoad{Shard: shard, Requests: n, Busy: time.Duration(n) * w.service})
@@ -167,6 +176,50 @@
 	return r, truth
 }
 
+// queue is a target's: its slots take requests in the order of arrival.
+type queue struct {
+	free      [3]time.Duration // when each slot is free, since the start
+	arrivals  []time.Duration
+	latencies []time.Duration
+}
+
+// arrive spreads n requests over the second that is being played.
+func (w *world) arrive(owner int, n uint32) {
+	q := w.queues[owner]
+	if q == nil {
+		q = &queue{}
+		w.queues[owner] = q
+	}
+	for range n {
+		q.arrivals = append(q.arrivals, w.now.Sub(simStart)+time.Duration(w.offsets.Int64N(int64(time.Second))))
+	}
+}
+
+func (q *queue) serve(service time.Duration) {
+	slices.Sort(q.arrivals)
+	for _, at := range q.arrivals {
+		slot := 0
+		for i := range q.free {
+			if q.free[i] < q.free[slot] {
+				slot = i
+			}
+		}
+		q.free[slot] = max(q.free[slot], at) + service
+		q.latencies = append(q.latencies, q.free[slot]-at)
+	}
+	q.arrivals = q.arrivals[:0]
+}
+
+// p99 returns the latency that 99 of 100 requests stayed within.
+func (w *world) p99() time.Duration {
+	var all []time.Duration
+	for _, q := range w.queues {
+		all = append(all, q.latencies...)
+	}
+	slices.Sort(all)
+	return all[len(all)*99/100]
+}
+
 // poisson draws a count by its mean (Knuth for small, normal for large means).
 func (w *world) poisson(mean float64) uint32 {
 	if mean > 30 {
@@ -208,6 +261,7 @@
 	mostInMinute     int
 	lastMinute       int // moves in the last minute
 	solos            int
+	p99              time.Duration
 	newTarget        float64 // load of the last target over the mean, at the end
 }
 
@@ -241,6 +295,7 @@
 		}
 		out.mostInMinute, out.lastMinute = max(out.mostInMinute, recent), recent
 	}
+	out.p99 = w.p99()
 	_, truth := w.step()
 	out.newTarget = truth[len(truth)-1] / (simLoad / float64(len(truth)))
 	out.solos = len(w.soloOf)
@@ -254,8 +309,8 @@
 }
 
 func (o outcome) String() string {
-	return fmt.Sprintf("imbalance mean %.2f p95 %.2f worst %.2f, moves a minute %.1f (most %d), solo keys %d",
-		o.mean, o.p95, o.worst, o.movesPerMinute, o.mostInMinute, o.solos)
+	return fmt.Sprintf("imbalance mean %.2f p95 %.2f worst %.2f, moves a minute %.1f (most %d), solo keys %d, p99 %v",
+		o.mean, o.p95, o.worst, o.movesPerMinute, o.mostInMinute, o.solos, o.p99.Round(time.Millisecond/10))
 }
 
 // TestAgainstRendezvous compares placement with the static rendezvous layout,
@@ -276,6 +331,7 @@
 				t.Logf("planned: %s", planned)
 				assert.Assert(t, planned.mostInMinute <= budget)
 				assert.Assert(t, planned.mean < static.mean)
+				assert.Assert(t, planned.p99 < static.p99)
 			})
 		}
 	}
