--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -199,6 +199,7 @@
 
 // advance runs each system once, in the order of their dependence.
 func (c *Cell) advance() {
+	c.checkRole()
 	c.resendWrite()
 	c.judgeLists()
 	if c.stopping {
--- a/internal/cell/invariant.go
+++ b/internal/cell/invariant.go
@@ -20,6 +20,23 @@
 	return false
 }
 
+// checkRole ends leading and deputising while a promise of this host runs.
+func (c *Cell) checkRole() {
+	if (c.role == leader || c.role == deputy) && c.promised() {
+		c.logf("invariant violated: %s while promised to %s", c.role, c.promise.to)
+		c.stepDown("invariant violated")
+	}
+}
+
+// checkTerm reports whether a document may follow the one in force.
+func (c *Cell) checkTerm(next *Doc) bool {
+	if !c.hasDoc || next.Term >= c.doc.Term {
+		return true
+	}
+	c.logf("invariant violated: term of the document fell from %d to %d", c.doc.Term, next.Term)
+	return false
+}
+
 // stepError returns what is wrong with a step between two documents.
 func stepError(from, to *Doc) error {
 	if to.Term < from.Term {
--- a/internal/cell/run_test.go
+++ b/internal/cell/run_test.go
@@ -36,6 +36,28 @@
 	return n
 }
 
+// stats counts what happened in a run, to tell whether it reached anything.
+// Served and samples count shards in custody, ten times a second.
+type stats struct {
+	moves, terms, activated, deputies, cuts, given, unknown, declared, rosters, joins int
+	served, samples                                                                   int
+}
+
+func (s *stats) add(o stats) {
+	s.moves += o.moves
+	s.terms += o.terms
+	s.activated += o.activated
+	s.deputies += o.deputies
+	s.cuts += o.cuts
+	s.given += o.given
+	s.unknown += o.unknown
+	s.declared += o.declared
+	s.rosters += o.rosters
+	s.joins += o.joins
+	s.served += o.served
+	s.samples += o.samples
+}
+
 // report is the outcome of many runs.
 type report struct {
 	mu     sync.Mutex
--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -133,7 +133,7 @@
 		c.won(ev.Revision)
 		return
 	}
-	if c.hasDoc && ev.Revision <= c.revision {
+	if c.hasDoc && ev.Revision <= c.revision || !c.checkTerm(&ev.Doc) {
 		return
 	}
 	if c.write.pending && ev.Revision > c.write.expect {
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -138,28 +138,6 @@
 	stats   stats
 }
 
-// stats counts what happened in a run, to tell whether it reached anything.
-// Served and samples count shards in custody, ten times a second.
-type stats struct {
-	moves, terms, activated, deputies, cuts, given, unknown, declared, rosters, joins int
-	served, samples                                                                   int
-}
-
-func (s *stats) add(o stats) {
-	s.moves += o.moves
-	s.terms += o.terms
-	s.activated += o.activated
-	s.deputies += o.deputies
-	s.cuts += o.cuts
-	s.given += o.given
-	s.unknown += o.unknown
-	s.declared += o.declared
-	s.rosters += o.rosters
-	s.joins += o.joins
-	s.served += o.served
-	s.samples += o.samples
-}
-
 func newWorld(o options) *world {
 	if o.length == 0 {
 		o.length = 90 * time.Second
