--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -168,7 +168,11 @@
 				return
 			}
 			left--
-			fmt.Fprintf(c.Out, "in doubt: %s shard %d for %s\n", x.Service, d.Shard, c.ago(d.Since))
+			fmt.Fprintf(c.Out, "in doubt: %s shard %d", x.Service, d.Shard)
+			if !d.Since.IsZero() {
+				fmt.Fprintf(c.Out, " for %s", c.ago(d.Since))
+			}
+			fmt.Fprintln(c.Out)
 			c.printWrapped(d.Why)
 		}
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"citrontray.example/citrontray/internal/journal"
@@ -163,6 +164,22 @@
 	assert.ErrorIs(t, err, settings.ErrNotAccepted)
 }
 
+// TestBusyHost has more operators at one host than it answers at once: the
+// others go to the next host.
+func TestBusyHost(t *testing.T) {
+	d := deploy(t)
+	d.store.SetFaults(standin.PlatformFaults{SlowMin: 50 * time.Millisecond, SlowMax: 50 * time.Millisecond})
+	var group errgroup.Group
+	const operators = 100 // above what one host answers, below what both do
+	for range operators {
+		group.Go(func() error {
+			_, err := d.client("first").Read(t.Context())
+			return err
+		})
+	}
+	assert.NilError(t, group.Wait())
+}
+
 func TestNobodyThere(t *testing.T) {
 	client := operator.NewClient(operator.ClientConfig{
 		Addrs: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}, Credential: "x", Timeout: time.Minute,
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -34,21 +36,45 @@
 	Log       *slog.Logger
 }
 
+// maxRequests bounds the requests that one host answers at the same time.
+const maxRequests = 64
+
+// errBusy is the cause of a refusal where maxRequests are under way.
+var errBusy = errors.New("too many operators at this host")
+
 // Server answers the operators' API.
 type Server struct {
 	config    ServerConfig
 	committer *settings.Committer
+	running   chan struct{}
 }
 
 // NewServer returns a server.
 func NewServer(config ServerConfig) *Server {
-	return &Server{config: config, committer: settings.NewCommitter(config.Store)}
+	return &Server{
+		config:    config,
+		committer: settings.NewCommitter(config.Store),
+		running:   make(chan struct{}, maxRequests),
+	}
 }
 
 // Register adds the API's routes to r.
 func (s *Server) Register(r *mux.Router) {
-	r.HandleFunc(pathSettings, s.read).Methods(http.MethodGet)
-	r.HandleFunc(pathSettings, s.write).Methods(http.MethodPost)
+	r.HandleFunc(pathSettings, s.bounded(s.read)).Methods(http.MethodGet)
+	r.HandleFunc(pathSettings, s.bounded(s.write)).Methods(http.MethodPost)
+}
+
+// bounded refuses a request while too many are under way.
+func (s *Server) bounded(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case s.running <- struct{}{}:
+			defer func() { <-s.running }()
+			next(w, r)
+		default:
+			answerError(w, fmt.Errorf("%w: %w", settings.ErrNotAccepted, errBusy))
+		}
+	}
 }
 
 // read answers with what the bearer may see.
