--- a/internal/cell/fault_test.go
+++ b/internal/cell/fault_test.go
@@ -29,6 +29,7 @@
 func (w *world) chance(p float64) bool { return w.r.Float64() < p }
 
 func (w *world) fault() {
+	w.evict()
 	if w.chance(0.02 * w.faultRate) {
 		w.loseHost()
 	}
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -236,7 +236,11 @@
 // than the service allows. Contact alone does not count: another zone that
 // waits for the hold to pass has taken the lease, and counts from there.
 func (c *Cell) overHold() bool {
-	return c.cfg.Hold > 0 && c.now.After(c.lease.held.Add(c.shorter(c.cfg.Hold)))
+	from := c.lease.held
+	if c.knobs.holdContact {
+		from = c.lease.contact
+	}
+	return c.cfg.Hold > 0 && c.now.After(from.Add(c.shorter(c.cfg.Hold)))
 }
 
 // allPromised reports whether every roster host promises to this one and has
--- a/internal/cell/run_test.go
+++ b/internal/cell/run_test.go
@@ -39,8 +39,8 @@
 // stats counts what happened in a run, to tell whether it reached anything.
 // Served and samples count shards in custody, ten times a second.
 type stats struct {
-	moves, terms, activated, deputies, cuts, given, unknown, declared, rosters, joins int
-	served, samples                                                                   int
+	moves, terms, activated, deputies, cuts, given, unknown, declared, rosters, joins, evicted int
+	served, samples                                                                            int
 }
 
 func (s *stats) add(o stats) {
@@ -54,6 +54,7 @@
 	s.declared += o.declared
 	s.rosters += o.rosters
 	s.joins += o.joins
+	s.evicted += o.evicted
 	s.served += o.served
 	s.samples += o.samples
 }
@@ -174,5 +175,6 @@
 	{"lost answer is not a failure", func(o *options) { o.knobs.assumeLost = true }},
 	{"lease counts from sending", func(o *options) { o.knobs.leaseFromAnswer = true }},
 	{"lost hosts leave promises behind", func(o *options) { o.knobs.lostAtOnce = true }},
+	{"hold counts from the lease", func(o *options) { o.knobs.holdContact, o.hold = true, 5*time.Second }},
 	{"lease got back is verified", func(o *options) { o.knobs.leaseUnverified = true }},
 }
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -121,6 +121,8 @@
 	docAt      platform.Revision
 	holder     place.Host
 	holdUntil  time.Time
+	evictUntil time.Duration
+	evictSince time.Time
 
 	custody  CustodySeen
 	outside  map[key.Shard]grant.Epoch
