--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -381,3 +381,131 @@
 	}
 	assert.Equal(t, old.total(), 3)
 }
+
+// TestBodyBounds shows that bodies are bounded for a request, by its length
+// or by its chunks, and for the entry host.
+func TestBodyBounds(t *testing.T) {
+	tests := map[string]struct {
+		size   int
+		memory int64
+		chunks bool
+		want   expectation
+		status int
+	}{
+		"at the bound":          {bodySize, 1 << 20, false, done(1), http.StatusOK},
+		"over it":               {bodySize + 1, 1 << 20, false, unrun(outcome.BodyTooBig), http.StatusRequestEntityTooLarge},
+		"at the bound, chunked": {bodySize, 1 << 20, true, done(1), http.StatusOK},
+		"over it, chunked":      {bodySize + 1, 1 << 20, true, unrun(outcome.BodyTooBig), http.StatusRequestEntityTooLarge},
+		"no memory left":        {bodySize, bodySize - 1, false, unrun(outcome.Overload), http.StatusServiceUnavailable},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, func(c *entryConfig) { c.Memory = test.memory })
+			owner := newTarget(t, func(c net.Conn, _ *http.Request, id string) bool {
+				reply(c, id, "whole")
+				return true
+			})
+			f.own(owner.addr())
+			var body io.Reader = strings.NewReader(strings.Repeat("x", test.size))
+			if test.chunks {
+				body = io.MultiReader(body)
+			}
+			req, err := http.NewRequest(http.MethodPost, f.server.URL+"/plan/k", body)
+			assert.NilError(t, err)
+			a := f.send(req)
+			assert.Equal(t, a.status, test.status)
+			assert.Equal(t, a.outcome, test.want.outcome)
+			assert.Equal(t, a.reason, test.want.reason)
+			assert.Equal(t, owner.total(), test.want.runs)
+		})
+	}
+}
+
+// TestKeptConnectionClosed shows that a registration does not meet a kept
+// connection that the target closed: it would end as unknown.
+func TestKeptConnectionClosed(t *testing.T) {
+	f := newFixture(t, nil)
+	closed := make(chan struct{}, 100)
+	owner := newTarget(t, func(c net.Conn, _ *http.Request, id string) bool {
+		reply(c, id, "whole")
+		_ = c.Close()
+		closed <- struct{}{}
+		return false
+	})
+	f.own(owner.addr())
+	for i := range 10 {
+		assert.Equal(t, f.call("POST", fmt.Sprintf("/plan/k%d", i), "").outcome, outcome.Done)
+		<-closed
+	}
+	assert.Equal(t, owner.total(), 10)
+}
+
+// TestCutWhileSending resets the connection before the request was read.
+func TestCutWhileSending(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 10))
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}()
+	f := newFixture(t, nil)
+	f.own(l.Addr().(*net.TCPAddr).AddrPort())
+	a := f.call("POST", "/plan/k", strings.Repeat("x", bodySize), target.HeaderDeadline, "300")
+	assert.Equal(t, a.outcome, outcome.Unknown)
+	a = f.call("GET", "/balance/k", "", target.HeaderDeadline, "300")
+	assert.Equal(t, a.outcome, outcome.Unknown)
+}
+
+// TestCallerLeavesRunning shows that a look-up is cancelled at its target when
+// its caller hangs up, and that a registration runs to its end.
+func TestCallerLeavesRunning(t *testing.T) {
+	tests := map[string]struct {
+		method, path string
+		cancelled    bool
+	}{
+		"look-up":      {"GET", "/balance/k", true},
+		"registration": {"POST", "/plan/k", false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			started, free, sawEnd := make(chan struct{}), make(chan struct{}), make(chan bool, 1)
+			owner := newTarget(t, func(c net.Conn, _ *http.Request, id string) bool {
+				close(started)
+				if test.cancelled {
+					_, err := c.Read(make([]byte, 1))
+					sawEnd <- err == io.EOF
+					return false
+				}
+				<-free
+				reply(c, id, "whole")
+				sawEnd <- false
+				return false
+			})
+			f := newFixture(t, nil)
+			f.own(owner.addr())
+			ctx, cancel := context.WithCancel(context.Background())
+			req, err := http.NewRequestWithContext(ctx, test.method, f.server.URL+test.path, http.NoBody)
+			assert.NilError(t, err)
+			req.Header.Set("Authorization", "Bearer "+clerk)
+			go func() {
+				<-started
+				cancel()
+			}()
+			resp, err := http.DefaultTransport.RoundTrip(req)
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			assert.ErrorIs(t, err, context.Canceled)
+			close(free)
+			assert.Equal(t, <-sawEnd, test.cancelled)
+		})
+	}
+}
--- a/internal/entry/slots_bench_test.go
+++ b/internal/entry/slots_bench_test.go
@@ -291,3 +291,26 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// startBenchEntry starts one entry host without links.
+func startBenchEntry(b testing.TB, bd *board) (*entry.Entry, string) {
+	e := entry.New(entry.Config{
+		Board: bd, DecodeSettings: bd.decodeSettings, DecodeTable: bd.decodeTable, Log: journal.Nop(),
+		Registry: metric.New("test"), Hosts: 1, Queue: queue.DefaultConfig(),
+		Park: time.Second, Parked: 1000, Memory: 16 << 20, Tick: entry.DefaultTick,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = e.Run(ctx)
+	}()
+	server := httptest.NewServer(e)
+	b.Cleanup(func() {
+		server.Close()
+		cancel()
+		<-done
+		e.Close()
+	})
+	return e, server.URL
+}
