Bulk work leaves a slot free; a planned stop lets idle connections go

Cause: a look-up waited for a whole run of a reminder when all slots were taken by them; a stop closed idle connections on which a request could be on its way. Now bulk work leaves one slot free while interactive requests come, and a stop closes the listener, answers with Connection: close and waits for idle connections for up to 2 s before it closes them.

--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -32,6 +32,9 @@
 	// waitMargin is what the estimate of a wait is multiplied by before a
 	// request is taken in, in percent: queues do not run evenly.
 	waitMargin = 130
+	// reserveTime is how long after the newest interactive request a slot is
+	// kept free of bulk work.
+	reserveTime = time.Second
 	// firstEstimate is the service time assumed before the first answer.
 	firstEstimate = 2 * time.Millisecond
 )
@@ -54,7 +57,11 @@
 	since   time.Time
 	warmUp  time.Duration
 	running int
-	serving serviceTime
+	// bulk is how many of them are of the bulk class; interactive is when
+	// the newest request of that class came.
+	bulk        int
+	interactive time.Time
+	serving     serviceTime
 	// down counts failed connects in a row; until resume nothing is sent.
 	down   int
 	resume time.Time
@@ -129,8 +136,11 @@
 	if l.closed {
 		return moved{}
 	}
-	if l.queue.Len() == 0 && l.mayStart(now) {
-		l.running++
+	if w.class == settings.Interactive {
+		l.interactive = now
+	}
+	if l.queue.Len() == 0 && l.mayStart(now) && w.class != l.barred(now) {
+		l.occupy(w)
 		return granted{}
 	}
 	if w.direct {
@@ -140,7 +150,7 @@
 	e := queue.Entry[*work]{Caller: w.caller, Class: w.class, Deadline: w.deadline, Value: w}
 	if w.returned {
 		w.ticket = l.queue.Return(e)
-		l.schedule(now)
+		l.start(now)
 		return nil
 	}
 	ticket, verdict, out, pushed := l.queue.Push(now.Add(l.serving.most()), e, l.pace()*waitMargin/100)
@@ -151,7 +161,7 @@
 		out.wake <- dropped{l.overload(queue.Full)}
 	}
 	w.ticket = ticket
-	l.schedule(now)
+	l.start(now)
 	return nil
 }
 
@@ -190,16 +200,35 @@
 	return l.running < l.limiter.allowed(now, l.since, l.warmUp)
 }
 
+// barred returns the class that may not start now: bulk work leaves one slot
+// free while interactive requests come, since each would wait for a whole run
+// of bulk work otherwise.
+func (l *lane) barred(now time.Time) settings.Class {
+	slots := l.limiter.allowed(now, l.since, l.warmUp)
+	if slots > 1 && l.bulk >= slots-1 && now.Sub(l.interactive) < reserveTime {
+		return settings.Bulk
+	}
+	return ""
+}
+
+// occupy counts a request that starts.
+func (l *lane) occupy(w *work) {
+	l.running++
+	if w.class == settings.Bulk {
+		l.bulk++
+	}
+}
+
 // start hands free slots to waiting requests.
 func (l *lane) start(now time.Time) {
 	for l.queue.Len() > 0 && l.mayStart(now) {
 		// A request that has not the time to be served any more would run
 		// in vain and end as unknown.
-		e, ok := l.queue.Pop(now.Add(l.serving.most()))
+		e, ok := l.queue.Pop(now.Add(l.serving.most()), l.barred(now))
 		if !ok {
-			return
+			break
 		}
-		l.running++
+		l.occupy(e.Value)
 		e.Value.wake <- granted{}
 	}
 	l.schedule(now)
@@ -235,10 +264,13 @@
 }
 
 // release gives back a slot and draws the conclusions from the result.
-func (l *lane) release(now time.Time, took time.Duration, r forward.Result) {
+func (l *lane) release(now time.Time, w *work, took time.Duration, r forward.Result) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.running--
+	if w.class == settings.Bulk {
+		l.bulk--
+	}
 	switch r := r.(type) {
 	case forward.Answered:
 		l.succeed(took)
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -7,7 +7,6 @@
 	"io"
 	"log/slog"
 	"net"
-	"net/http"
 	"net/netip"
 	"os/signal"
 	"syscall"
@@ -29,13 +28,8 @@
 	"citrontray.example/citrontray/internal/version"
 )
 
-// Bounds of the callers' connections.
-const (
-	headTimeout = 5 * time.Second
-	idleTimeout = 2 * time.Minute
-	// maxHead bounds a request's line and headers; net/http adds 4 KiB.
-	maxHead = 16 << 10
-)
+// idlePatience is how long a stop waits for idle connections of callers.
+const idlePatience = 2 * time.Second
 
 // Options is what the flags and environment variables of the program say.
 type Options struct {
@@ -159,7 +153,7 @@
 	node     *spread.Node
 	pages    *admin.Server
 	listener net.Listener
-	server   *http.Server
+	server   *Server
 }
 
 // open binds all sockets and reads the keys.
@@ -183,7 +177,7 @@
 	if d.listener, err = net.Listen("tcp", o.HTTP.String()); err != nil {
 		return nil, fmt.Errorf("--http-address: %w", err)
 	}
-	d.server = NewServer(d.entry)
+	d.server = NewServer(d.entry, d.listener)
 	return d, nil
 }
 
@@ -208,17 +202,6 @@
 	}
 }
 
-// NewServer returns the server for callers.
-func NewServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHead,
-		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
-	}
-}
-
 // Run serves until ctx ends and then stops in order. All parts stop together.
 func (d *daemon) Run(ctx context.Context) error {
 	outer, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -247,10 +230,7 @@
 // runServer serves callers.
 func (d *daemon) runServer() error {
 	d.log.Info("Entry started.", slog.String("host", string(d.opts.Host)), slog.String("http", d.listener.Addr().String()))
-	if err := d.server.Serve(d.listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
+	return d.server.Run()
 }
 
 // runReady keeps /ready in step.
@@ -283,9 +263,10 @@
 	sleep(failed, d.opts.Notice)
 	bound, cancel := context.WithTimeout(failed, d.opts.StopTimeout-d.opts.Notice)
 	defer cancel()
-	clear := time.AfterFunc((d.opts.StopTimeout-d.opts.Notice)/2, d.entry.Clear)
+	half := (d.opts.StopTimeout - d.opts.Notice) / 2
+	clear := time.AfterFunc(half, d.entry.Clear)
 	defer clear.Stop()
-	if err := d.server.Shutdown(bound); err != nil {
+	if err := d.server.Stop(bound, min(half, idlePatience)); err != nil {
 		d.log.Warn("Requests were cut at the end of the stop.", slog.Any("error", err))
 		return d.server.Close()
 	}
--- a/internal/entry/slots_bench_test.go
+++ b/internal/entry/slots_bench_test.go
@@ -170,6 +170,10 @@
 	s := someSettings()
 	s.Services = []settings.Service{{Name: balance, Shards: benchShards, Slots: benchSlots, Connections: 130, BodyBytes: bodySize}}
 	s.Routes[0].Timeout = benchTimeout
+	s.Routes = append(s.Routes, settings.Route{
+		Name: "remind", Service: balance, Callers: []settings.Caller{"office"}, Methods: []string{http.MethodPost},
+		Path: "/remind/{key}", KeySource: settings.KeyInPath, Class: settings.Bulk, Timeout: 2 * time.Second,
+	})
 	bd.putSettings(s)
 	bd.Publish(spread.Document{Name: spread.Fleet, Version: spread.Version{Major: 1}, Body: list})
 	t := &table.Table{Service: balance, Zone: "zone-a", Shards: benchShards, Rows: rows}
@@ -246,7 +250,7 @@
 		sent++
 		wg.Go(func() {
 			at := next
-			end := c.get(url)
+			end := c.ask(http.MethodGet, url, clerk)
 			took := time.Since(at)
 			mu.Lock()
 			defer mu.Unlock()
@@ -267,12 +271,13 @@
 	b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/float64(sent), "cpu_us/req")
 }
 
-func (c *cluster) get(url string) outcome.Outcome {
-	req, err := http.NewRequest(http.MethodGet, url, nil)
+// ask sends one request and returns its outcome.
+func (c *cluster) ask(method, url, credential string) outcome.Outcome {
+	req, err := http.NewRequest(method, url, nil)
 	if err != nil {
 		return "error"
 	}
-	req.Header.Set("Authorization", "Bearer "+clerk)
+	req.Header.Set("Authorization", "Bearer "+credential)
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return "error"
--- /dev/null
+++ b/internal/entry/stop_test.go
@@ -0,0 +1,132 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/entry"
+	"citrontray.example/citrontray/internal/forward"
+	"citrontray.example/citrontray/internal/outcome"
+	"citrontray.example/citrontray/internal/table"
+	"citrontray.example/citrontray/internal/target"
+)
+
+// TestGracefulStop stops an entry host under load: callers are asked to go
+// elsewhere, none sees a cut connection, what runs ends.
+func TestGracefulStop(t *testing.T) {
+	const callers = 20
+	started, free := make(chan struct{}), make(chan struct{})
+	f := newFixture(t, nil)
+	owner := newTarget(t, func(c net.Conn, r *http.Request, id string) bool {
+		if r.URL.Path == "/plan/slow" {
+			close(started)
+			<-free
+		}
+		reply(c, id, "whole")
+		return true
+	})
+	f.own(owner.addr())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := entry.NewServer(f.entry, l)
+	served := make(chan error, 1)
+	go func() { served <- server.Run() }()
+	var done, cut atomic.Int64
+	var wg sync.WaitGroup
+	post := func(client *http.Client, key string) bool {
+		req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/plan/%s", l.Addr(), key), http.NoBody)
+		assert.Check(t, err)
+		req.Header.Set("Authorization", "Bearer "+clerk)
+		resp, err := client.Do(req)
+		if err != nil {
+			t.Log(err)
+			cut.Add(1)
+			return false
+		}
+		_, _ = io.Copy(io.Discard, resp.Body) // else the connection is not kept
+		_ = resp.Body.Close()
+		if resp.Header.Get(outcome.Header) == string(outcome.Done) {
+			done.Add(1)
+		}
+		return !resp.Close // as a balancer that saw /ready fall
+	}
+	for i := range callers {
+		wg.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections() // a dial that came second
+			for n := 0; post(client, fmt.Sprintf("k%d-%d", i, n)); n++ {
+			}
+		})
+	}
+	wg.Go(func() {
+		client := &http.Client{Transport: &http.Transport{}}
+		defer client.CloseIdleConnections()
+		post(client, "slow")
+	})
+	<-started
+	waitFor(t, func() bool { return done.Load() > 200 })
+	f.entry.Drain()
+	assert.Assert(t, !f.entry.Ready())
+	stopped := make(chan error, 1)
+	waitFor(t, func() bool { return f.entry.Waiting() == 0 })
+	go func() { stopped <- server.Stop(context.Background(), time.Minute) }()
+	assert.NilError(t, <-served)
+	close(free)
+	wg.Wait()
+	assert.NilError(t, <-stopped)
+	assert.Equal(t, cut.Load(), int64(0))
+	assert.Equal(t, int64(owner.total()), done.Load())
+}
+
+// TestRetryBudget takes a third of the targets away at once: the tries stay
+// within the requests, a tenth more, and the first burst.
+func TestRetryBudget(t *testing.T) {
+	const requests, burst = 600, 20
+	owner := newTarget(t, nil)
+	gone := netip.MustParseAddrPort("127.0.0.1:1")
+	var failed atomic.Int64
+	f := newFixture(t, func(c *entryConfig) {
+		c.Park = 50 * time.Millisecond
+		c.Dial = func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+			if addr == gone {
+				failed.Add(1)
+				return nil, errors.New("refused")
+			}
+			return forward.DialTCP(ctx, addr)
+		}
+	})
+	s := someTable(plan, owner.addr())
+	s.Targets = append(s.Targets, table.Target{Target: "gone", Addr: gone})
+	s.Rows[0].Owner = 1
+	f.board.putTable(s)
+	var wg sync.WaitGroup
+	var ended [3]atomic.Int64
+	for i := range requests {
+		wg.Go(func() {
+			a := f.call("POST", fmt.Sprintf("/plan/k%d", i), "", target.HeaderDeadline, "200")
+			at := strings.Index("done   not-rununknown", string(a.outcome)) / 7
+			ended[at].Add(1)
+		})
+		if i%50 == 0 {
+			wg.Wait()
+		}
+	}
+	wg.Wait()
+	assert.Equal(t, ended[2].Load(), int64(0), "unknown")
+	assert.Assert(t, ended[0].Load() > 0)
+	assert.Equal(t, int64(owner.total()), ended[0].Load())
+	assert.Assert(t, failed.Load() <= ended[1].Load()+requests/10+burst+1, "tries %d, not run %d", failed.Load(), ended[1].Load())
+	t.Logf("requests %d, done %d, failed tries %d", requests, ended[0].Load(), failed.Load())
+}
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -122,7 +122,7 @@
 	}
 	w.request.Shard, w.request.Epoch = shard, o.epoch
 	if now, stale := time.Now(), e.stale(w, o); stale {
-		o.lane.release(now, 0, forward.NotSent{Err: context.Canceled})
+		o.lane.release(now, w, 0, forward.NotSent{Err: context.Canceled})
 		return again{}
 	}
 	return e.send(ctx, s, o, w)
@@ -156,7 +156,7 @@
 	}
 	if !l.leave(w) {
 		if _, ok := (<-w.wake).(granted); ok {
-			l.release(time.Now(), 0, forward.NotSent{Err: context.Canceled})
+			l.release(time.Now(), w, 0, forward.NotSent{Err: context.Canceled})
 		}
 	}
 	return dropped{notRun(outcome.CallerGone, retryAfter)}
@@ -167,13 +167,13 @@
 	l := o.lane
 	start := time.Now()
 	if !w.deadline.After(start) {
-		l.release(start, 0, forward.NotSent{Err: context.Canceled})
+		l.release(start, w, 0, forward.NotSent{Err: context.Canceled})
 		return finish{notRun(outcome.Deadline, retryAfter)}
 	}
 	result := l.pool.Do(w.sendContext(ctx), &w.request, start)
 	end := time.Now()
 	took := end.Sub(start)
-	l.release(end, took, result)
+	l.release(end, w, took, result)
 	s.load.add(w.request.Shard, w.hash, took)
 	e.metrics.tried(result)
 	return e.judge(ctx, o, w, result)
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -58,7 +58,7 @@
 				push(t, q, e)
 			}
 			var got []int
-			for e, ok := q.Pop(start); ok; e, ok = q.Pop(start) {
+			for e, ok := q.Pop(start, ""); ok; e, ok = q.Pop(start, "") {
 				got = append(got, e.Value)
 			}
 			assert.DeepEqual(t, got, test.want)
@@ -66,6 +66,18 @@
 	}
 }
 
+func TestPopExcept(t *testing.T) {
+	q := queue.New[int](queue.DefaultConfig())
+	push(t, q, entry("a", settings.Bulk, 1))
+	_, ok := q.Pop(start, settings.Bulk)
+	assert.Assert(t, !ok)
+	push(t, q, entry("a", settings.Interactive, 2))
+	e, ok := q.Pop(start, settings.Bulk)
+	assert.Assert(t, ok)
+	assert.Equal(t, e.Value, 2)
+	assert.Equal(t, q.Len(), 1)
+}
+
 // TestShares serves three classes with full queues: the shares follow the
 // weights.
 func TestShares(t *testing.T) {
@@ -77,7 +89,7 @@
 		push(t, q, entry("c", settings.Interactive, i))
 	}
 	for range 2500 {
-		e, ok := q.Pop(start)
+		e, ok := q.Pop(start, "")
 		assert.Assert(t, ok)
 		served[e.Class]++
 	}
@@ -116,7 +128,7 @@
 	push(t, q, e)
 	push(t, q, entry("a", settings.Bulk, 2))
 	now := start.Add(time.Second)
-	got, ok := q.Pop(now)
+	got, ok := q.Pop(now, "")
 	assert.Assert(t, ok)
 	assert.Equal(t, got.Value, 2)
 	assert.DeepEqual(t, q.Expire(now), []int{1})
@@ -127,12 +139,12 @@
 	q := queue.New[int](queue.DefaultConfig())
 	push(t, q, entry("a", settings.Bulk, 1))
 	push(t, q, entry("a", settings.Bulk, 2))
-	e, _ := q.Pop(start)
+	e, _ := q.Pop(start, "")
 	ticket := q.Return(e)
 	assert.Assert(t, q.Remove(ticket))
 	assert.Assert(t, !q.Remove(ticket))
 	q.Return(e)
-	e, _ = q.Pop(start)
+	e, _ = q.Pop(start, "")
 	assert.Equal(t, e.Value, 1)
 }
 
@@ -175,7 +187,7 @@
 }
 
 func (m *model) pop(t *rapid.T) {
-	e, ok := m.queue.Pop(m.now)
+	e, ok := m.queue.Pop(m.now, "")
 	if !ok {
 		for value, deadline := range m.inside {
 			if deadline.After(m.now) {
@@ -238,7 +250,7 @@
 			b.ReportAllocs()
 			for i := range b.N {
 				q.Push(start, entry(names[i%callers], settings.Bulk, i), 0)
-				q.Pop(start)
+				q.Pop(start, "")
 			}
 		})
 	}
--- a/internal/queue/serve.go
+++ b/internal/queue/serve.go
@@ -3,12 +3,14 @@
 import (
 	"slices"
 	"time"
+
+	"citrontray.example/citrontray/internal/settings"
 )
 
-// Pop removes and returns the item whose turn it is. Items past their
-// deadline are skipped: Expire returns those.
-func (q *Queue[T]) Pop(now time.Time) (Entry[T], bool) {
-	c := q.nextClass(now)
+// Pop removes and returns the item whose turn it is, of any class but except.
+// Items past their deadline are skipped: Expire returns those.
+func (q *Queue[T]) Pop(now time.Time, except settings.Class) (Entry[T], bool) {
+	c := q.nextClass(now, except)
 	if c == nil {
 		var zero Entry[T]
 		return zero, false
@@ -24,9 +26,12 @@
 
 // nextClass returns the class of lowest virtual time that has an item within
 // its deadline.
-func (q *Queue[T]) nextClass(now time.Time) *class {
+func (q *Queue[T]) nextClass(now time.Time, except settings.Class) *class {
 	var best *class
 	for _, c := range q.classes {
+		if c.name == except {
+			continue
+		}
 		if best != nil && best.pass <= c.pass {
 			continue
 		}
