--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -26,6 +26,8 @@
 	// can make more load than the targets have capacity; zero stands for 1.
 	Slowdown int
 	Hot      load.HotSet
+	// Network puts a network that can be cut between the hosts' peers.
+	Network bool
 	// Settings tells to measure when settings are in force.
 	Settings bool
 	Steps    []Step
@@ -54,6 +56,9 @@
 // ThawTarget lets a frozen target go on as if nothing had happened.
 type ThawTarget struct{ Target int }
 
+// Misbehave has a target cut, cross, truncate, swell and delay some answers.
+type Misbehave struct{ Target int }
+
 // KillLead ends the lead process of the first target's cell without warning.
 type KillLead struct{}
 
@@ -72,13 +77,20 @@
 // StoreSlow makes each call of the platform's service take 2 to 10 s.
 type StoreSlow struct{}
 
+// StoreLosesAnswers loses the answers of 3 calls of 10 after they took effect.
+type StoreLosesAnswers struct{}
+
 // StoreUp ends all faults of the platform's service.
 type StoreUp struct{}
 
 // CutZone cuts one zone, by its number, off from the platform.
 type CutZone struct{ Zone int }
 
-// JoinZone ends a CutZone.
+// SplitZone cuts one zone, by its number, off from the platform and from the
+// peers of all other zones.
+type SplitZone struct{ Zone int }
+
+// JoinZone ends a CutZone and a SplitZone.
 type JoinZone struct{}
 
 // ReplaceHost stops both processes of a host, by its number, as planned, and
@@ -97,24 +109,27 @@
 // RaceSettings has ten operators write the same settings at once.
 type RaceSettings struct{}
 
-func (KillTarget) action()    {}
-func (RestartTarget) action() {}
-func (FreezeTarget) action()  {}
-func (ThawTarget) action()    {}
-func (KillLead) action()      {}
-func (StartLead) action()     {}
-func (PauseLead) action()     {}
-func (ResumeLead) action()    {}
-func (StoreDown) action()     {}
-func (StoreSlow) action()     {}
-func (StoreUp) action()       {}
-func (CutZone) action()       {}
-func (JoinZone) action()      {}
-func (ReplaceHost) action()   {}
-func (DrainTarget) action()   {}
-func (SetLoad) action()       {}
-func (SetHot) action()        {}
-func (RaceSettings) action()  {}
+func (KillTarget) action()        {}
+func (RestartTarget) action()     {}
+func (FreezeTarget) action()      {}
+func (ThawTarget) action()        {}
+func (Misbehave) action()         {}
+func (KillLead) action()          {}
+func (StartLead) action()         {}
+func (PauseLead) action()         {}
+func (ResumeLead) action()        {}
+func (StoreDown) action()         {}
+func (StoreSlow) action()         {}
+func (StoreLosesAnswers) action() {}
+func (StoreUp) action()           {}
+func (CutZone) action()           {}
+func (SplitZone) action()         {}
+func (JoinZone) action()          {}
+func (ReplaceHost) action()       {}
+func (DrainTarget) action()       {}
+func (SetLoad) action()           {}
+func (SetHot) action()            {}
+func (RaceSettings) action()      {}
 
 // baseLoad is the part of the capacity that most scenarios load.
 const baseLoad = 0.25
@@ -170,6 +185,11 @@
 			Length: 20 * time.Second, Load: baseLoad,
 			Steps: []Step{{4 * time.Second, FreezeTarget{0}}, {14 * time.Second, ThawTarget{0}}},
 		},
+		{
+			Name: "badanswers", About: "one target cuts, crosses, truncates, swells and delays answers",
+			Length: 15 * time.Second, Load: baseLoad,
+			Steps: []Step{{4 * time.Second, Misbehave{0}}},
+		},
 		{
 			Name: "drain", About: "an operator drains one target",
 			Length: 15 * time.Second, Load: baseLoad,
@@ -185,6 +205,11 @@
 			Length: 20 * time.Second, Load: baseLoad,
 			Steps: []Step{{4 * time.Second, KillLead{}}, {14 * time.Second, StartLead{}}},
 		},
+		{
+			Name: "rackloss", About: "the lead process of a cell and a target of it are killed at once",
+			Length: 20 * time.Second, Load: baseLoad,
+			Steps: []Step{{4 * time.Second, KillLead{}}, {4 * time.Second, KillTarget{0}}, {14 * time.Second, StartLead{}}},
+		},
 		{
 			Name: "leadpause", About: "the lead process of a cell is paused for 6 s",
 			Length: 18 * time.Second, Load: baseLoad,
@@ -222,16 +247,44 @@
 				{20 * time.Second, StoreUp{}},
 			},
 		},
+		{
+			Name: "storeoutleadloss", About: "the lead process of a cell is killed while the platform's service is out",
+			Length: 25 * time.Second, Load: baseLoad,
+			Steps: []Step{
+				{4 * time.Second, StoreDown{}},
+				{8 * time.Second, KillLead{}},
+				{20 * time.Second, StoreUp{}},
+			},
+		},
 		{
 			Name: "storeslow", About: "each call of the platform's service takes 2 to 10 s, for 14 s",
 			Length: 22 * time.Second, Load: baseLoad,
 			Steps: []Step{{4 * time.Second, StoreSlow{}}, {18 * time.Second, StoreUp{}}},
 		},
+		{
+			Name: "storelost", About: "the store loses 3 of 10 answers; a target and then a lead are killed",
+			Length: 22 * time.Second, Load: baseLoad,
+			Steps: []Step{
+				{3 * time.Second, StoreLosesAnswers{}},
+				{5 * time.Second, KillTarget{0}},
+				{11 * time.Second, KillLead{}},
+				{18 * time.Second, StoreUp{}},
+			},
+		},
 		{
 			Name: "zonecut", About: "one zone is cut off from the platform for 12 s",
 			Length: 22 * time.Second, Load: baseLoad,
 			Steps: []Step{{4 * time.Second, CutZone{2}}, {16 * time.Second, JoinZone{}}},
 		},
+		{
+			Name: "zonesplit", About: "one zone is cut off from the platform and the other zones for 14 s and loses a target",
+			Length: 24 * time.Second, Load: baseLoad, Network: true,
+			Steps: []Step{
+				{3 * time.Second, SplitZone{0}},
+				{6 * time.Second, KillTarget{0}},
+				{17 * time.Second, JoinZone{}},
+			},
+		},
 		{
 			Name: "settingsrace", About: "ten operators write the same settings at once, three times",
 			Length: 15 * time.Second, Load: baseLoad, Settings: true,
--- a/internal/cell/custody.go
+++ b/internal/cell/custody.go
@@ -36,7 +36,7 @@
 
 // takeIn adds rows for the shards that came into custody.
 func (c *Cell) takeIn(d *draft) {
-	if !c.custodySeen || c.custody.Revision < c.doc.Custody {
+	if !c.custodySeen || c.custody.Revision <= c.doc.Custody {
 		return
 	}
 	for _, s := range c.custody.Shards {
@@ -54,10 +54,8 @@
 		owner := d.pick(s.Shard, may)
 		d.insert(Row{Shard: s.Shard, Epoch: epoch, Owner: owner, Standby: d.standbyFor(s.Shard, owner, may)})
 	}
-	if d.doc.Custody != c.custody.Revision {
-		d.doc.Custody = c.custody.Revision
-		d.changed = true
-	}
+	d.doc.Custody = c.custody.Revision
+	d.changed = true
 }
 
 // giveUp removes the rows that custody took away, once nobody here holds
@@ -65,7 +63,7 @@
 func (c *Cell) giveUp(d *draft) {
 	for i := range c.rows {
 		r, s := c.doc.Rows[i], &c.rows[i]
-		if c.keeps(r.Shard) || s.doubt || s.active != nil {
+		if !s.away || s.doubt || s.active != nil {
 			continue
 		}
 		if e := c.giveEvidence(i); e != nil && !hasSolos(&d.doc, r.Shard) {
@@ -106,41 +104,3 @@
 	}
 	d.doc.Given = append(d.doc.Given, Given{Shard: r.Shard, Floor: floor, Evidence: e})
 }
-
-// cutSolos cuts planned hot keys out of their shards: the parent's epoch
-// rises at the same owner, so that requests routed by an older table are
-// refused, and the key gets a row there. It moves later, like any shard.
-func (c *Cell) cutSolos(d *draft) {
-	c.plan = slices.DeleteFunc(c.plan, func(p PlannedMove) bool {
-		if !p.Cut {
-			return false
-		}
-		c.cutSolo(d, p)
-		return true
-	})
-}
-
-func (c *Cell) cutSolo(d *draft, p PlannedMove) {
-	i := c.doc.rowOf(p.Shard)
-	known := slices.ContainsFunc(d.doc.Solos, func(s Solo) bool { return s.Hash == p.Solo })
-	if i < 0 || known || len(d.doc.Solos) >= maxSolos || p.Solo.Shard(c.cfg.Shards) != p.Shard {
-		return
-	}
-	j := d.doc.rowOf(p.Shard)
-	r, s := c.doc.Rows[i], &c.rows[i]
-	if j < 0 || r.Owner == NoTarget || !s.served || s.doubt || s.releasing || s.active != nil || d.doc.Rows[j] != r {
-		return
-	}
-	parent := &d.doc.Rows[j]
-	parent.Epoch++
-	solo := Solo{Hash: p.Solo, Shard: max(d.doc.NextSolo, key.Shard(c.cfg.Shards)), Parent: p.Shard, Cut: parent.Epoch}
-	d.doc.NextSolo = solo.Shard + 1
-	d.doc.Solos = append(d.doc.Solos, solo)
-	d.insert(Row{Shard: solo.Shard, Epoch: parent.Epoch, Owner: r.Owner, Standby: r.Standby})
-	if p.To != "" {
-		c.cuts = append(c.cuts, PlannedMove{Shard: solo.Shard, To: p.To})
-	}
-}
-
-// maxSolos bounds the hot keys that are cut out of their shards at one time.
-const maxSolos = 512
--- a/internal/cell/maintain.go
+++ b/internal/cell/maintain.go
@@ -27,6 +27,7 @@
 	c.clearRemoved(d)
 	// From here on the rows of the draft are out of line with c.rows.
 	c.cutSolos(d)
+	c.joinSolos(d)
 	c.takeIn(d)
 	c.giveUp(d)
 	if d.changed {
@@ -130,10 +131,10 @@
 
 // moveRows gives shards whose old owner's grant has ended to new owners.
 func (c *Cell) moveRows(d *draft) {
-	lapsed := make(map[TargetIndex]bool)
+	lapsed := make([]bool, len(c.targets))
 	for i := range c.targets {
 		t := &c.targets[i]
-		lapsed[TargetIndex(i)] = t.target != "" && !c.answering(t) && c.ended(t)
+		lapsed[i] = t.target != "" && !c.answering(t) && c.ended(t)
 	}
 	for i := range c.rows {
 		s := &c.rows[i]
@@ -211,13 +212,25 @@
 // parentEnded reports, for a solo key, whether its owner has also given up the
 // parent shard at the epochs that still included the key.
 func (c *Cell) parentEnded(r Row) bool {
+	_, open := c.openParent(r)
+	return !open
+}
+
+// openParent returns, for a solo key, the parent shard at the last epoch that
+// included the key, unless the owner has given that up. An owner that the key
+// was moved to may never have held the parent: only a release raises its floor.
+func (c *Cell) openParent(r Row) (grant.Held, bool) {
 	i := slices.IndexFunc(c.doc.Solos, func(s Solo) bool { return s.Shard == r.Shard })
 	if i < 0 || c.knobs.noParentCheck {
-		return true
+		return grant.Held{}, false
 	}
 	solo := c.doc.Solos[i]
 	t := &c.targets[r.Owner]
-	return t.holds(solo.Parent) >= solo.Cut || t.holds(solo.Parent) == 0 && t.floor(solo.Parent) >= solo.Cut
+	held := t.holds(solo.Parent)
+	if held >= solo.Cut || held == 0 && t.floor(solo.Parent) >= solo.Cut {
+		return grant.Held{}, false
+	}
+	return grant.Held{Shard: solo.Parent, Epoch: solo.Cut - 1}, true
 }
 
 // raiseEpochs follows an owner that refuses the recorded epoch, because an
@@ -238,12 +251,16 @@
 // refreshStandbys replaces standbys that can't take over.
 func (c *Cell) refreshStandbys(d *draft) {
 	may := func(t TargetIndex) bool { return int(t) < len(c.targets) && c.eligible(t) }
+	fit := make([]bool, len(c.targets))
+	for i := range c.targets {
+		fit[i] = c.keepsStandby(&c.targets[i])
+	}
 	for i := range c.rows {
 		r := &d.doc.Rows[i]
 		if c.rows[i].doubt || c.rows[i].active != nil {
 			continue
 		}
-		if r.Standby != NoTarget && r.Standby != r.Owner && c.keepsStandby(r.Standby) {
+		if r.Standby != NoTarget && r.Standby != r.Owner && fit[r.Standby] {
 			continue
 		}
 		standby := d.standbyFor(r.Shard, r.Owner, may)
@@ -256,11 +273,9 @@
 
 // keepsStandby reports whether the target may stay a standby: a short silence
 // is no reason to write.
-func (c *Cell) keepsStandby(i TargetIndex) bool {
-	t := &c.targets[i]
-	_, lost := c.targetLost(t.target)
+func (c *Cell) keepsStandby(t *targetState) bool {
 	silent := c.now.Sub(latest(t.answered, c.leadSince)) > memberSilence
-	return t.target != "" && !lost && !silent && !c.leavingNow(i)
+	return t.target != "" && !t.leaving && !silent
 }
 
 // clearRemoved forgets removed hosts that every target refuses by now, or
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -205,8 +205,7 @@
 	if !c.mayLead() {
 		return
 	}
-	c.role = candidate
-	c.campaign = campaign{since: c.now}
+	c.startCampaign()
 }
 
 // mayRenew reports whether this host has the right to renew grants: by a
@@ -291,8 +290,12 @@
 				from = latest(from, m.since)
 			}
 		}
+		// A promise that the lost host made backs another one to its end.
 		for _, since := range c.lostSince {
-			from = latest(from, since)
+			if c.knobs.lostAtOnce {
+				break
+			}
+			from = latest(from, since.Add(c.longer(c.cfg.Timing.Promise)))
 		}
 	}
 	return from.Add(c.longer(c.cfg.Timing.Grant))
--- a/internal/cell/run_test.go
+++ b/internal/cell/run_test.go
@@ -36,6 +36,28 @@
 	return n
 }
 
+// stats counts what happened in a run, to tell whether it reached anything.
+// Served and samples count shards in custody, ten times a second.
+type stats struct {
+	moves, terms, activated, deputies, cuts, given, unknown, declared, rosters, joins int
+	served, samples                                                                   int
+}
+
+func (s *stats) add(o stats) {
+	s.moves += o.moves
+	s.terms += o.terms
+	s.activated += o.activated
+	s.deputies += o.deputies
+	s.cuts += o.cuts
+	s.given += o.given
+	s.unknown += o.unknown
+	s.declared += o.declared
+	s.rosters += o.rosters
+	s.joins += o.joins
+	s.served += o.served
+	s.samples += o.samples
+}
+
 // report is the outcome of many runs.
 type report struct {
 	mu     sync.Mutex
@@ -75,7 +97,7 @@
 // TestRandomRuns plays hosts, targets and a store under faults of all kinds.
 // CELL_SEED and CELL_RUNS choose other seeds; CELL_TRACE prints one run.
 func TestRandomRuns(t *testing.T) {
-	count := 400
+	count := 800
 	if testing.Short() {
 		count = 60
 	}
@@ -100,6 +122,9 @@
 func TestKeptSeeds(t *testing.T) {
 	tests := map[string]uint64{
 		"stale lead gets the lapsed lease back":                 3574,
+		"promise of a lost host outlives the declaration":       41097,
+		"grants of a lost host outlive the declaration":         1551,
+		"target answers although it is declared lost":           106553,
 		"stale lead grants to a restarted target":               435,
 		"a pause between two effects reorders published tables": 1660,
 	}
@@ -148,5 +173,6 @@
 	{"parent of a solo key ended", func(o *options) { o.knobs.noParentCheck = true }},
 	{"lost answer is not a failure", func(o *options) { o.knobs.assumeLost = true }},
 	{"lease counts from sending", func(o *options) { o.knobs.leaseFromAnswer = true }},
+	{"lost hosts leave promises behind", func(o *options) { o.knobs.lostAtOnce = true }},
 	{"lease got back is verified", func(o *options) { o.knobs.leaseUnverified = true }},
 }
--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -133,7 +133,7 @@
 		c.won(ev.Revision)
 		return
 	}
-	if c.hasDoc && ev.Revision <= c.revision {
+	if c.hasDoc && ev.Revision <= c.revision || !c.checkTerm(&ev.Doc) {
 		return
 	}
 	if c.write.pending && ev.Revision > c.write.expect {
@@ -178,9 +178,9 @@
 	l := &c.lease
 	l.pending = false
 	if !ev.Reached {
-		l.lastFailed = c.now
 		return
 	}
+	l.taken = !ev.Held
 	l.contact = latest(l.contact, ev.SentAt)
 	from := ev.SentAt
 	if c.knobs.leaseFromAnswer {
@@ -200,7 +200,7 @@
 // verifyLease writes the document unchanged, but for activated standbys. It
 // also makes any write of another host that is still on its way fail.
 func (c *Cell) verifyLease() {
-	if c.lease.verified || !c.now.Before(c.lease.until) || c.write.pending {
+	if c.lease.verified || !c.now.Before(c.lease.until) || c.write.pending || c.knobs.leaseUnverified {
 		return
 	}
 	d := c.newDraft()
@@ -235,5 +235,5 @@
 	c.alignTargets(&old)
 	c.alignRows(&old)
 	c.alignMates()
-	c.dirty = true
+	c.dirty, c.unjudged = true, true
 }
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -129,6 +129,7 @@
 	drains   []place.Target
 	leaving  []place.Target
 	unlisted map[string]bool
+	down     map[string]time.Duration // declared nodes, until when
 	lost     []Lost
 	versions map[place.Host]table.Version
 
@@ -137,27 +138,6 @@
 	stats   stats
 }
 
-// stats counts what happened in a run, to tell whether it reached anything.
-// Served and samples count shards in custody, ten times a second.
-type stats struct {
-	moves, terms, activated, deputies, cuts, given, unknown, declared, rosters int
-	served, samples                                                            int
-}
-
-func (s *stats) add(o stats) {
-	s.moves += o.moves
-	s.terms += o.terms
-	s.activated += o.activated
-	s.deputies += o.deputies
-	s.cuts += o.cuts
-	s.given += o.given
-	s.unknown += o.unknown
-	s.declared += o.declared
-	s.rosters += o.rosters
-	s.served += o.served
-	s.samples += o.samples
-}
-
 func newWorld(o options) *world {
 	if o.length == 0 {
 		o.length = 90 * time.Second
@@ -167,6 +147,7 @@
 		cuts: make(map[[2]string]time.Duration), outside: make(map[key.Shard]grant.Epoch),
 		solos: make(map[key.Hash]Solo), rejoined: make(map[key.Hash]grant.Epoch),
 		versions: make(map[place.Host]table.Version), unlisted: make(map[string]bool),
+		down: make(map[string]time.Duration),
 	}
 	w.storeClock = w.newClock()
 	w.custody = CustodySeen{Revision: 1}
--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -62,6 +62,7 @@
 	bulk        int
 	interactive time.Time
 	serving     serviceTime
+	meter       *meter
 	// down counts failed connects in a row; until resume nothing is sent.
 	down   int
 	resume time.Time
@@ -93,6 +94,7 @@
 func newLane(e *Entry, zone place.Zone, row *table.Target, cfg *settings.Service) *lane {
 	limit := max(cfg.Connections/max(e.cfg.Hosts, 1), cfg.Slots, 1)
 	l := &lane{
+		meter:   newMeter(),
 		entry:   e,
 		service: cfg.Name,
 		target:  row.Target,
@@ -273,6 +275,7 @@
 	}
 	switch r := r.(type) {
 	case forward.Answered:
+		l.meter.ended(now, took, false)
 		l.succeed(took)
 	case forward.Refused:
 		l.down = 0
