Cells end with their service, and last until their zone has given its shards

Cause: a service deleted from the settings kept its cells and grants for ever, and a zone taken out of a service kept its shards with nobody to hand them over. Before: no path for either. After: a planned stop for the first; the second transfers its shards for balance and ends then; both tested. Conclusion: documents stay in the store, so that epochs never fall should the service come back.

--- a/internal/lead/reconciler.go
+++ b/internal/lead/reconciler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"citrontray.example/citrontray/internal/cell"
@@ -53,13 +54,18 @@
 
 // reconcile brings the cells in line with the view.
 func (r reconciler) reconcile(v *view) {
+	wanted := make(map[cell.ID]bool)
 	for _, s := range v.services(r.cfg.Zone) {
 		cfg := r.cellConfig(s)
+		wanted[cfg.ID] = true
 		run := r.ensure(cfg)
 		for _, ev := range v.events(cfg, s) {
 			run.send(r.cells, ev)
 		}
 	}
+	if v.settings != nil {
+		r.dismiss(wanted)
+	}
 }
 
 // ensure returns the runner of a cell, started if it is new.
@@ -74,3 +80,19 @@
 	go run.run(r.cells)
 	return run
 }
+
+// dismiss stops the cells that no settings name any more. Their grants end by
+// themselves; the documents stay, so that epochs never fall should the service
+// come back.
+func (r reconciler) dismiss(wanted map[cell.ID]bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, run := range r.runners {
+		if wanted[id] {
+			continue
+		}
+		delete(r.runners, id)
+		run.log.Info("Service is gone, the cell stops.", slog.String("service", string(id.Service)))
+		go dismissal{run}.run(r.cells)
+	}
+}
--- /dev/null
+++ b/internal/lead/reconciler_test.go
@@ -0,0 +1,43 @@
+package lead
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/custody"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/settings"
+)
+
+// TestZoneTakenOutOfAServiceGivesItsShards: the settings name zone a alone
+// from now on; the cell of b goes on until all its shards are on their way.
+func TestZoneTakenOutOfAServiceGivesItsShards(t *testing.T) {
+	z := newZones(t, 0)
+	z.link.answering[hostA.Lead] = true
+	z.service.Zones = []place.Zone{"a"}
+	z.view.settings.Services = []settings.Service{z.service}
+	var doc custody.Doc
+	for range 12 {
+		doc = z.round(t, time.Second)
+		assert.Equal(t, len(z.view.services("b")), 1, "the cell is still needed")
+	}
+	assert.Equal(t, len(doc.Leaving("b")), 8)
+}
+
+// TestCellOfADeletedServiceStops: the cell hands over, gives up its goroutine
+// and is forgotten.
+func TestCellOfADeletedServiceStops(t *testing.T) {
+	z := newZones(t, 0)
+	delete(z.runners, cellB)
+	r := reconciler{z.Daemon, t.Context()}
+	r.reconcile(z.view)
+	run := z.runners[cellB]
+	assert.Assert(t, run != nil)
+
+	z.view.settings.Services = nil
+	r.reconcile(z.view)
+	assert.Equal(t, len(z.runners), 0)
+	<-run.gone
+}
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -40,6 +40,7 @@
 	reports chan placement.Report
 	placer  *placer
 	stopped chan struct{}
+	gone    chan struct{} // closed once the goroutine is to end
 	calls   sync.WaitGroup
 	peers   map[place.Host]place.HostRow
 	state   snapshot
@@ -58,6 +59,7 @@
 		reports: make(chan placement.Report, reportBuffer),
 		placer:  newPlacer(),
 		stopped: make(chan struct{}),
+		gone:    make(chan struct{}),
 		peers:   make(map[place.Host]place.HostRow),
 	}
 }
@@ -78,6 +80,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-r.gone:
+			return
 		case ev := <-r.events:
 			r.handle(ctx, ev)
 		case report := <-r.reports:
@@ -166,18 +170,23 @@
 // finish waits for the calls under way, such as giving up the lease, until
 // ctx ends.
 func (r *runner) finish(ctx context.Context) {
-	done := make(chan struct{})
-	go r.loopFinish(done)
+	w := waiter{runner: r, done: make(chan struct{})}
+	go w.run()
 	select {
-	case <-done:
+	case <-w.done:
 	case <-ctx.Done():
 	}
 }
 
-// loopFinish closes done once no call is under way.
-func (r *runner) loopFinish(done chan<- struct{}) {
-	r.calls.Wait()
-	close(done)
+// waiter closes done once no call is under way.
+type waiter struct {
+	*runner
+	done chan struct{}
+}
+
+func (w waiter) run() {
+	w.calls.Wait()
+	close(w.done)
 }
 
 // sendPeer starts one message to a roster host whose address is known.
@@ -209,6 +218,21 @@
 	})
 }
 
+// dismissal ends a cell whose service is gone.
+type dismissal struct{ *runner }
+
+// run stops the cell in a planned way and then its goroutine.
+func (d dismissal) run(ctx context.Context) {
+	d.send(ctx, cell.StopSeen{})
+	select {
+	case <-d.stopped:
+	case <-ctx.Done():
+		return
+	}
+	d.finish(ctx)
+	close(d.gone)
+}
+
 // stop notes that the planned stop of the cell is complete.
 func (r *runner) stop() {
 	select {
--- a/internal/lead/status.go
+++ b/internal/lead/status.go
@@ -113,7 +113,7 @@
 // explain tells where a key is, from the tables of all zones on the board.
 func (d *Daemon) explain(q status.Query) *status.Key {
 	v, _ := d.library.look()
-	for _, s := range v.services("") {
+	for _, s := range v.all() {
 		if s.Name != q.Service {
 			continue
 		}
--- a/internal/lead/view.go
+++ b/internal/lead/view.go
@@ -30,19 +30,21 @@
 	revision platform.Revision
 }
 
-// services returns the services that the zone has a cell of, or all services
-// for no zone.
+// services returns the services that the zone has a cell of: those that name
+// it, and those that named it while it still has custody of some shard.
 func (v *view) services(zone place.Zone) []settings.Service {
+	return slices.DeleteFunc(v.all(), func(s settings.Service) bool {
+		named := len(s.Zones) == 0 || slices.Contains(s.Zones, zone)
+		return !named && v.custody[s.Name].Count()[zone] == 0 && len(v.custody[s.Name].Leaving(zone)) == 0
+	})
+}
+
+// all returns all services.
+func (v *view) all() []settings.Service {
 	if v.settings == nil {
 		return nil
 	}
-	var out []settings.Service
-	for _, s := range v.settings.Services {
-		if zone == "" || len(s.Zones) == 0 || slices.Contains(s.Zones, zone) {
-			out = append(out, s)
-		}
-	}
-	return out
+	return slices.Clone(v.settings.Services)
 }
 
 // hosts returns the entry hosts of the zone.
