--- a/internal/cell/deputy.go
+++ b/internal/cell/deputy.go
@@ -24,7 +24,7 @@
 		c.targets[i].taken()
 	}
 	c.heartbeatDue = c.now
-	c.logf("renews as deputy at term %d", c.doc.Term)
+	c.logf("Renews as deputy at term %d.", c.doc.Term)
 }
 
 // deputise renews what stands, and goes on trying to get the lease.
@@ -38,7 +38,7 @@
 		return
 	}
 	if c.campaign.fresh && c.now.Before(c.lease.until) {
-		c.logf("campaigns again: the store answers")
+		c.logf("Campaigns again: the store answers.")
 		c.role = candidate
 		c.run()
 		return
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -143,13 +143,13 @@
 		c.rows[i] = rowState{doubt: !first && !c.knobs.noInventory, served: !first}
 	}
 	c.dirty = true
-	c.logf("leads at term %d", c.term)
+	c.logf("Leads at term %d.", c.term)
 }
 
 // stepDown ends leading, deputising or campaigning.
 func (c *Cell) stepDown(why string) {
 	if c.role == leader || c.role == deputy {
-		c.logf("stops being %s: %s", c.role, why)
+		c.logf("Stops being %s: %s.", c.role, why)
 	}
 	c.role = follower
 	c.term = 0
--- a/internal/cell/event.go
+++ b/internal/cell/event.go
@@ -166,10 +166,7 @@
 type Publish struct{ Table table.Table }
 
 // Log asks for one line in the log.
-type Log struct {
-	Text  string
-	Shard key.Shard
-}
+type Log struct{ Text string }
 
 // Stopped reports that the planned stop is complete.
 type Stopped struct{}
--- a/internal/cell/invariant.go
+++ b/internal/cell/invariant.go
@@ -15,7 +15,7 @@
 	if err == nil {
 		return true
 	}
-	c.logf("invariant violated: %v", err)
+	c.logf("Invariant violated: %v.", err)
 	c.stepDown("invariant violated")
 	return false
 }
@@ -23,7 +23,7 @@
 // checkRole ends leading and deputising while a promise of this host runs.
 func (c *Cell) checkRole() {
 	if (c.role == leader || c.role == deputy) && c.promised() {
-		c.logf("invariant violated: %s while promised to %s", c.role, c.promise.to)
+		c.logf("Invariant violated: %s while promised to %s.", c.role, c.promise.to)
 		c.stepDown("invariant violated")
 	}
 }
@@ -33,7 +33,7 @@
 	if !c.hasDoc || next.Term >= c.doc.Term {
 		return true
 	}
-	c.logf("invariant violated: term of the document fell from %d to %d", c.doc.Term, next.Term)
+	c.logf("Invariant violated: term of the document fell from %d to %d.", c.doc.Term, next.Term)
 	return false
 }
 
--- a/internal/cell/network_test.go
+++ b/internal/cell/network_test.go
@@ -330,11 +330,11 @@
 func (w *world) noteLog(h *hostNode, e Log) {
 	w.tracef("%s: %s", h.name, e.Text)
 	switch {
-	case strings.HasPrefix(e.Text, "invariant"):
+	case strings.HasPrefix(e.Text, "Invariant"):
 		w.fail("%s: %s", h.name, e.Text)
-	case strings.HasPrefix(e.Text, "activates"):
+	case strings.HasPrefix(e.Text, "Activates"):
 		w.stats.activated++
-	case strings.HasPrefix(e.Text, "renews as deputy"):
+	case strings.HasPrefix(e.Text, "Renews as deputy"):
 		w.stats.deputies++
 	}
 }
--- a/internal/cell/standby.go
+++ b/internal/cell/standby.go
@@ -52,7 +52,7 @@
 	s.served, s.releasing = false, false
 	c.hasten(r.Standby)
 	c.dirty = true
-	c.logf("activates the standby of shard %d", r.Shard)
+	c.logf("Activates the standby of shard %d.", r.Shard)
 }
 
 // storeOut reports whether the lease has ended and the store is silent.
--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -141,7 +141,7 @@
 	}
 	higher := ev.Doc.Term > c.doc.Term || !c.hasDoc
 	if c.leading() && !higher {
-		c.logf("document changed by another writer")
+		c.logf("Document changed by another writer.")
 	}
 	if c.leading() || c.role == deputy && higher {
 		c.stepDown("a newer document was read")
--- a/internal/cell/target.go
+++ b/internal/cell/target.go
@@ -203,7 +203,7 @@
 // newIncarnation forgets what an earlier life of the target had accepted.
 func (c *Cell) newIncarnation(t *targetState, life place.Incarnation) {
 	if t.incarnation != 0 {
-		c.logf("target %s restarted", t.target)
+		c.logf("Target %s restarted.", t.target)
 	}
 	t.incarnation = life
 	t.accepted = 0
--- a/internal/lead/runner.go
+++ b/internal/lead/runner.go
@@ -152,7 +152,7 @@
 		case cell.Publish:
 			r.publish(e.Table)
 		case cell.Log:
-			r.log.Info(e.Text, slog.Uint64("shard", uint64(e.Shard)))
+			r.log.Info(e.Text)
 		case cell.Stopped:
 			r.stop()
 		}
