A cell evicted before its first document gets a lead

Evicting a cell that had no document wrote one with an empty roster, and no host was ever allowed to lead it: after the zone's return its shards were not served (test, failed before). Hosts of the zone now form the roster of such a document.

--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -27,14 +27,15 @@
 	return c.rosterLost() && slices.Contains(c.wantedRoster(), c.cfg.Self)
 }
 
-// rosterLost reports whether operators declared every roster host lost.
+// rosterLost reports whether operators declared every roster host lost. The
+// document of a cell that was evicted before it had a lead names no host.
 func (c *Cell) rosterLost() bool {
 	for _, h := range c.doc.Roster {
 		if !c.hostLost(h) {
 			return false
 		}
 	}
-	return len(c.doc.Roster) > 0
+	return true
 }
 
 // rank spreads the candidates of one cell over time.
@@ -117,7 +118,9 @@
 		c.firstLayout(&d)
 		return d
 	}
-	if c.rosterLost() {
+	if len(c.doc.Roster) == 0 {
+		d.Roster = c.wantedRoster()
+	} else if c.rosterLost() {
 		d.Roster = []place.Host{c.cfg.Self}
 		d.Removed = slices.DeleteFunc(d.Removed, func(r RemovedHost) bool { return r.Host == c.cfg.Self })
 	}
