Cut a key out only where it carries most of the load

Cause: a key with half of the best move's load was cut out and moved instead of the shard, so more moves were needed.

--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -26,7 +26,7 @@
 	// soloShare is the part of the best move's load from which cutting one
 	// key is preferred to moving a whole shard: one key is pulled again
 	// instead of all of the shard's.
-	soloShare = 0.5
+	soloShare = 0.8
 	// idleShare is the part of the mean load below which a target gets more,
 	// busyShare the part at which it has enough.
 	idleShare = 0.5
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -233,9 +233,8 @@
 }
 
 // carryOut does what a cell does with a plan, and returns the moves of
-// ownership.
-func (w *world) carryOut(plan []cell.PlannedMove) int {
-	moves := 0
+// ownership and how many of them were of whole shards.
+func (w *world) carryOut(plan []cell.PlannedMove) (moves, whole int) {
 	for _, m := range plan {
 		row := w.rowOf[m.Shard]
 		if m.Cut {
@@ -249,15 +248,19 @@
 		if to >= 0 && w.layout.Rows[row].Owner != to {
 			w.layout.Rows[row].Owner = to
 			moves++
+			if !w.layout.Rows[row].Solo {
+				whole++
+			}
 		}
 	}
-	return moves
+	return moves, whole
 }
 
 // outcome sums up one run.
 type outcome struct {
 	mean, p95, worst float64 // of the busiest target's load over the mean
 	movesPerMinute   float64
+	wholePerMinute   float64 // of them, of whole shards
 	mostInMinute     int
 	lastMinute       int // moves in the last minute
 	solos            int
@@ -284,7 +287,9 @@
 			continue
 		}
 		loads.Add(w.now, report)
-		for range w.carryOut(p.Plan(w.now, cfg, w.layout, loads)) {
+		moves, whole := w.carryOut(p.Plan(w.now, cfg, w.layout, loads))
+		out.wholePerMinute += float64(whole) / float64(sc.minutes)
+		for range moves {
 			starts = append(starts, w.now)
 		}
 		recent := 0
@@ -309,8 +314,8 @@
 }
 
 func (o outcome) String() string {
-	return fmt.Sprintf("imbalance mean %.2f p95 %.2f worst %.2f, moves a minute %.1f (most %d), solo keys %d, p99 %v",
-		o.mean, o.p95, o.worst, o.movesPerMinute, o.mostInMinute, o.solos, o.p99.Round(time.Millisecond/10))
+	return fmt.Sprintf("imbalance mean %.2f p95 %.2f worst %.2f, moves a minute %.1f (shards %.1f, most %d), solo keys %d, p99 %v",
+		o.mean, o.p95, o.worst, o.movesPerMinute, o.wholePerMinute, o.mostInMinute, o.solos, o.p99.Round(time.Millisecond/10))
 }
 
 // TestAgainstRendezvous compares placement with the static rendezvous layout,
