Look-ups at a frozen target go to the new owner at once

Cause: a look-up that a frozen target had taken waited for its deadline though the key had a new owner long before. In a planned move what runs has ended before the table changes, so what still runs then is broken off and run once more. Registrations stay unknown.

--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -145,9 +145,7 @@
 		return e.follow(ctx, w, f)
 	}
 	stop := context.AfterFunc(ctx, func() { e.joins.leave(f) })
-	single := *w
-	single.join, single.handed = "", false
-	result := e.route(runCtx, &single)
+	result := e.route(runCtx, w.single())
 	e.joins.end(time.Now(), id, f, result)
 	if stop() {
 		e.joins.leave(f)
@@ -155,6 +153,15 @@
 	return result
 }
 
+// single returns a copy that runs by itself: what joins it waits for the
+// flight.
+func (w *work) single() *work {
+	return &work{
+		caller: w.caller, class: w.class, route: w.route, idempotent: w.idempotent,
+		request: w.request, hash: w.hash, deadline: w.deadline, wake: make(chan event, 1),
+	}
+}
+
 // follow waits for another request's run. It may have run already, so a
 // caller whose time is up learns that the outcome is unknown.
 func (e *Entry) follow(ctx context.Context, w *work, f *flight) outcome.Result {
--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -62,7 +62,9 @@
 	bulk        int
 	interactive time.Time
 	serving     serviceTime
-	meter       *meter
+	// looks are the look-ups that run, with what breaks each off.
+	looks map[*work]context.CancelFunc
+	meter *meter
 	// down counts failed connects in a row; until resume nothing is sent.
 	down   int
 	resume time.Time
@@ -101,6 +103,7 @@
 		zone:    zone,
 		addr:    row.Addr.String(),
 		queue:   queue.New[*work](e.cfg.Queue),
+		looks:   make(map[*work]context.CancelFunc),
 		limiter: newLimiter(max(cfg.Slots, 1)),
 		serving: serviceTime{mean: firstEstimate},
 	}
@@ -328,22 +331,46 @@
 	l.start(now)
 }
 
+// track notes a look-up that runs; untrack forgets it.
+func (l *lane) track(w *work, cancel context.CancelFunc) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.looks[w] = cancel
+}
+
+func (l *lane) untrack(w *work) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.looks, w)
+}
+
 // wakeMoved wakes the waiting requests whose shard the view gives to another
-// target or another epoch.
+// target. Look-ups that still run here are broken off and run at the new
+// owner: in a planned move they have ended before, so this target is frozen or
+// lost and they would wait for their deadline.
 func (l *lane) wakeMoved(v *view) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := l.queue.RemoveWhere(func(e queue.Entry[*work]) bool {
-		s := v.services[l.service]
-		if s == nil {
-			return true
-		}
-		_, o := s.find(e.Value.hash)
-		return o.lane != l
-	})
+	out := l.queue.RemoveWhere(func(e queue.Entry[*work]) bool { return !l.owns(v, e.Value) })
 	for _, w := range out {
 		w.wake <- moved{}
 	}
+	for w, cancel := range l.looks {
+		if !l.owns(v, w) {
+			w.moved.Store(true)
+			cancel()
+		}
+	}
+}
+
+// owns reports whether a view gives the request's key to the lane's target.
+func (l *lane) owns(v *view, w *work) bool {
+	s := v.services[l.service]
+	if s == nil {
+		return false
+	}
+	_, o := s.find(w.hash)
+	return o.lane == l
 }
 
 // clear drops all that waits: the entry host stops.
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -510,3 +510,33 @@
 		})
 	}
 }
+
+// TestOwnerMovesWhileFrozen shows that a look-up at a frozen target goes to
+// the new owner once there is one, and that a registration is not run again.
+func TestOwnerMovesWhileFrozen(t *testing.T) {
+	tests := map[string]struct {
+		method, path string
+		outcome      outcome.Outcome
+		again        int
+	}{
+		"look-up":      {"GET", "/balance/k", outcome.Done, 1},
+		"registration": {"POST", "/plan/k", outcome.Unknown, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, nil)
+			frozen := newTarget(t, func(c net.Conn, _ *http.Request, _ string) bool {
+				_, _ = c.Read(make([]byte, 1)) // until the other side hangs up
+				return false
+			})
+			f.own(frozen.addr())
+			got := make(chan answer, 1)
+			go func() { got <- f.call(test.method, test.path, "", target.HeaderDeadline, "1500") }()
+			waitFor(t, func() bool { return frozen.total() == 1 })
+			owner := newTarget(t, nil)
+			f.own(owner.addr())
+			assert.Equal(t, (<-got).outcome, test.outcome)
+			assert.Equal(t, owner.total(), test.again)
+		})
+	}
+}
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"citrontray.example/citrontray/internal/forward"
@@ -47,6 +48,8 @@
 	// direct tells that the request goes to its home where the target has no
 	// free slot; waited that it waited for one.
 	direct, waited bool
+	// moved tells that the owner changed while the request ran.
+	moved atomic.Bool
 	// handed tells that another entry host handed the request over.
 	handed bool
 	// returned tells that the request held a slot before and did not run.
@@ -170,7 +173,7 @@
 		l.release(start, w, 0, forward.NotSent{Err: context.Canceled})
 		return finish{notRun(outcome.Deadline, retryAfter)}
 	}
-	result := l.pool.Do(w.sendContext(ctx), &w.request, start)
+	result := l.do(w.sendContext(ctx), w, start)
 	end := time.Now()
 	took := end.Sub(start)
 	l.release(end, w, took, result)
@@ -179,6 +182,18 @@
 	return e.judge(ctx, o, w, result)
 }
 
+// do makes one try; a look-up is broken off where its owner changes.
+func (l *lane) do(ctx context.Context, w *work, now time.Time) forward.Result {
+	if !w.idempotent {
+		return l.pool.Do(ctx, &w.request, now)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l.track(w, cancel)
+	defer l.untrack(w)
+	return l.pool.Do(ctx, &w.request, now)
+}
+
 // sendContext lets a caller that hung up cancel a look-up that runs. Other
 // work runs to its end: breaking it off would leave its outcome unknown.
 func (w *work) sendContext(ctx context.Context) context.Context {
@@ -198,6 +213,9 @@
 	case forward.NotSent:
 		return e.judgeNotSent(ctx, w, r.Err)
 	case forward.Uncertain:
+		if w.moved.Swap(false) {
+			r.Reason = outcome.AnswerCut
+		}
 		if e.mayResend(ctx, w, r.Reason) {
 			w.uncertain, w.returned = r.Reason, true
 			return again{}
