--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 BINARIES = citrontray-entry citrontray-lead citrontray citrontray-lab
 DECISIONS = ./internal/cell/... ./internal/placement/... ./internal/queue/... ./internal/settings/... ./internal/spread/... ./internal/custody/...
 
-.PHONY: help build test race fmt fmt-check lint vet demo bench soak capacity ci clean
+.PHONY: help build test race fmt fmt-check lint vet demo bench soak soak-path capacity ci clean
 
 help: ## list the targets
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -34,6 +34,13 @@
 
 soak: ## play many random runs of the ownership core (RUNS, SEED; RULES=n breaks each rule n times)
 	CELL_RUNS=$(RUNS) CELL_SEED=$(SEED) CELL_BREAK=$(RULES) $(GO) test ./internal/cell -run 'RandomRuns|RulesNeeded' -v -count=1 -timeout 4h
+	$(MAKE) -s soak-path
+
+REQUESTS ?= 1000000
+PATH_SEED ?= 1
+
+soak-path: ## send many requests through failing targets and count their runs (REQUESTS, PATH_SEED)
+	$(GO) test ./internal/entry -run 'TestSoak$$' -v -count=1 -timeout 1h -soak.requests=$(REQUESTS) -soak.seed=$(PATH_SEED) -soak.callers=160
 
 vet: ## run go vet
 	$(GO) vet ./...
