--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -32,6 +32,9 @@
 	// waitMargin is what the estimate of a wait is multiplied by before a
 	// request is taken in, in percent: queues do not run evenly.
 	waitMargin = 130
+	// reserveTime is how long after the newest interactive request a slot is
+	// kept free of bulk work.
+	reserveTime = time.Second
 	// firstEstimate is the service time assumed before the first answer.
 	firstEstimate = 2 * time.Millisecond
 )
@@ -54,8 +57,14 @@
 	since   time.Time
 	warmUp  time.Duration
 	running int
-	serving serviceTime
-	meter   *meter
+	// bulk is how many of them are of the bulk class; interactive is when
+	// the newest request of that class came.
+	bulk        int
+	interactive time.Time
+	serving     serviceTime
+	// looks are the look-ups that run, with what breaks each off.
+	looks map[*work]context.CancelFunc
+	meter *meter
 	// down counts failed connects in a row; until resume nothing is sent.
 	down   int
 	resume time.Time
@@ -94,6 +103,7 @@
 		zone:    zone,
 		addr:    row.Addr.String(),
 		queue:   queue.New[*work](e.cfg.Queue),
+		looks:   make(map[*work]context.CancelFunc),
 		limiter: newLimiter(max(cfg.Slots, 1)),
 		serving: serviceTime{mean: firstEstimate},
 	}
@@ -131,8 +141,11 @@
 	if l.closed {
 		return moved{}
 	}
-	if l.queue.Len() == 0 && l.mayStart(now) {
-		l.running++
+	if w.class == settings.Interactive {
+		l.interactive = now
+	}
+	if l.queue.Len() == 0 && l.mayStart(now) && w.class != l.barred(now) {
+		l.occupy(w)
 		return granted{}
 	}
 	if w.direct {
@@ -142,7 +155,7 @@
 	e := queue.Entry[*work]{Caller: w.caller, Class: w.class, Deadline: w.deadline, Value: w}
 	if w.returned {
 		w.ticket = l.queue.Return(e)
-		l.schedule(now)
+		l.start(now)
 		return nil
 	}
 	ticket, verdict, out, pushed := l.queue.Push(now.Add(l.serving.most()), e, l.pace()*waitMargin/100)
@@ -153,7 +166,7 @@
 		out.wake <- dropped{l.overload(queue.Full)}
 	}
 	w.ticket = ticket
-	l.schedule(now)
+	l.start(now)
 	return nil
 }
 
@@ -192,16 +205,35 @@
 	return l.running < l.limiter.allowed(now, l.since, l.warmUp)
 }
 
+// barred returns the class that may not start now: bulk work leaves one slot
+// free while interactive requests come, since each would wait for a whole run
+// of bulk work otherwise.
+func (l *lane) barred(now time.Time) settings.Class {
+	slots := l.limiter.allowed(now, l.since, l.warmUp)
+	if slots > 1 && l.bulk >= slots-1 && now.Sub(l.interactive) < reserveTime {
+		return settings.Bulk
+	}
+	return ""
+}
+
+// occupy counts a request that starts.
+func (l *lane) occupy(w *work) {
+	l.running++
+	if w.class == settings.Bulk {
+		l.bulk++
+	}
+}
+
 // start hands free slots to waiting requests.
 func (l *lane) start(now time.Time) {
 	for l.queue.Len() > 0 && l.mayStart(now) {
 		// A request that has not the time to be served any more would run
 		// in vain and end as unknown.
-		e, ok := l.queue.Pop(now.Add(l.serving.most()))
+		e, ok := l.queue.Pop(now.Add(l.serving.most()), l.barred(now))
 		if !ok {
-			return
+			break
 		}
-		l.running++
+		l.occupy(e.Value)
 		e.Value.wake <- granted{}
 	}
 	l.schedule(now)
@@ -237,10 +269,13 @@
 }
 
 // release gives back a slot and draws the conclusions from the result.
-func (l *lane) release(now time.Time, took time.Duration, r forward.Result) {
+func (l *lane) release(now time.Time, w *work, took time.Duration, r forward.Result) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.running--
+	if w.class == settings.Bulk {
+		l.bulk--
+	}
 	switch r := r.(type) {
 	case forward.Answered:
 		l.meter.ended(now, took, false)
@@ -296,22 +331,46 @@
 	l.start(now)
 }
 
+// track notes a look-up that runs; untrack forgets it.
+func (l *lane) track(w *work, cancel context.CancelFunc) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.looks[w] = cancel
+}
+
+func (l *lane) untrack(w *work) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.looks, w)
+}
+
 // wakeMoved wakes the waiting requests whose shard the view gives to another
-// target or another epoch.
+// target. Look-ups that still run here are broken off and run at the new
+// owner: in a planned move they have ended before, so this target is frozen or
+// lost and they would wait for their deadline.
 func (l *lane) wakeMoved(v *view) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := l.queue.RemoveWhere(func(e queue.Entry[*work]) bool {
-		s := v.services[l.service]
-		if s == nil {
-			return true
-		}
-		_, o := s.find(e.Value.hash)
-		return o.lane != l
-	})
+	out := l.queue.RemoveWhere(func(e queue.Entry[*work]) bool { return !l.owns(v, e.Value) })
 	for _, w := range out {
 		w.wake <- moved{}
 	}
+	for w, cancel := range l.looks {
+		if !l.owns(v, w) {
+			w.moved.Store(true)
+			cancel()
+		}
+	}
+}
+
+// owns reports whether a view gives the request's key to the lane's target.
+func (l *lane) owns(v *view, w *work) bool {
+	s := v.services[l.service]
+	if s == nil {
+		return false
+	}
+	_, o := s.find(w.hash)
+	return o.lane == l
 }
 
 // clear drops all that waits: the entry host stops.
