--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -234,12 +234,14 @@
 	return encodeResult(result, w.waited)
 }
 
-// takesOver reports whether this host runs a request that was handed to it.
-// One with an idempotency key runs nowhere but at the home of its key.
+// takesOver reports whether this host runs a request that was handed to it:
+// not while it stops, nor before it has the service's table. One with an
+// idempotency key runs nowhere but at the home of its key.
 func (e *Entry) takesOver(w *work) bool {
+	v := e.view.Load()
 	if w.join == "" {
-		return !e.draining.Load()
+		return !e.draining.Load() && v.services[w.request.Service] != nil
 	}
-	home, ok := e.view.Load().homeOfKey(w.request.Service, w.hash)
+	home, ok := v.homeOfKey(w.request.Service, w.hash)
 	return ok && home.Host == e.cfg.Host
 }
--- a/internal/entry/soak_test.go
+++ b/internal/entry/soak_test.go
@@ -403,6 +403,7 @@
 	case outcome.Done:
 		if !standin.CheckAnswer(body, uri, []byte(payload)) {
 			s.wrong.Add(1)
+			s.Logf("wrong answer to %s: status %d, %d bytes", uri, resp.StatusCode, len(body))
 		}
 		return endDone
 	case outcome.NotRun:
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -175,11 +175,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if !t.pass(l) {
-		return
-	}
+	t.survive(l)
 	answer := t.apply(l, order)
-	t.pass(l)
+	t.survive(l)
 	body, err = target.EncodeAnswer(answer)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
@@ -227,9 +225,7 @@
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
 		return
 	}
-	if !t.pass(l) {
-		return
-	}
+	t.survive(l)
 	faults := t.faultsNow()
 	if faults.hits(faults.Shed) {
 		t.refuse(w, target.RefusalBusy)
@@ -245,14 +241,12 @@
 		return
 	}
 	defer t.end(l, shard)
-	if !t.pass(l) {
-		return
-	}
+	t.survive(l)
 	t.ledger.run(r.URL.Query().Get(OperationParameter), r.Header.Get(target.HeaderIdempotency))
 	if sleep(r.Context(), t.workTime(l, faults)) != nil {
 		return // cancelled: the work stops, nobody waits for an answer
 	}
-	t.pass(l)
+	t.survive(l)
 	t.answer(w, faults, answered{request: id, body: AnswerBody(r.URL.RequestURI(), payload, faults.AnswerBytes)})
 }
 
@@ -315,7 +309,7 @@
 
 // health tells the number of running requests; a lying target says it is idle.
 func (t *Target) health(l *life, w http.ResponseWriter, _ *http.Request) {
-	t.pass(l)
+	t.survive(l)
 	t.mu.Lock()
 	running, lies := l.running, t.faults.LyingHealth
 	t.mu.Unlock()
--- a/internal/standin/targetfaults.go
+++ b/internal/standin/targetfaults.go
@@ -131,6 +131,14 @@
 	t.Kill()
 }
 
+// survive waits while the target is frozen. A process that was killed sends no
+// answer: returning from the handler would send an empty one with status 200.
+func (t *Target) survive(l *life) {
+	if !t.pass(l) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // answer writes an answer, or what the faults make of it.
 func (t *Target) answer(w http.ResponseWriter, faults TargetFaults, answer answered) {
 	if faults.hits(faults.Late) {
