--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -112,10 +112,10 @@
 
 // knobs switch off one rule each, for the runs that prove the rules needed.
 type knobs struct {
-	extendGrants, noInventory, manyUnaccounted, lonely                    bool
-	lapseFromAnchor, sharedPromises, noSilence, standbyUnread             bool
-	forgetRemoved, noParentCheck                                          bool
-	assumeLost, leaseFromAnswer, leaseUnverified, lostAtOnce, holdContact bool
+	extendGrants, noInventory, manyUnaccounted, lonely                              bool
+	lapseFromAnchor, sharedPromises, noSilence, standbyUnread                       bool
+	forgetRemoved, noParentCheck                                                    bool
+	assumeLost, leaseFromAnswer, leaseUnverified, lostAtOnce, holdContact, holdOver bool
 }
 
 // New returns the cell's core for one host. It does nothing before the first
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -196,6 +196,11 @@
 
 // leadCell runs the lead's systems.
 func (c *Cell) leadCell() {
+	if c.overHold() && !c.knobs.holdOver {
+		// Another zone may have the shards by the time the store is back.
+		c.stepDown("the service's hold has passed")
+		return
+	}
 	c.askLease(c.cfg.Timing.LeaseRenew)
 	c.heartbeat()
 	c.verifyLease()
--- a/internal/cell/rule_test.go
+++ b/internal/cell/rule_test.go
@@ -73,6 +73,29 @@
 	w.tellAll()
 }
 
+// evictedLead activates a standby while the store is out, passes the hold, and
+// is evicted before it reaches the store again.
+func evictedLead(w *world) {
+	w.until(4 * time.Second)
+	a := w.leadHost()
+	for _, h := range w.hosts {
+		w.cutLinks(h.name, storeName)
+	}
+	w.crashTarget(w.ownerNode(), time.Hour)
+	w.until(20 * time.Second)
+	w.takeOver(w.storeClock.at(w.now))
+	w.leaseThenCut(a)
+}
+
+// leaseThenCut lets the host reach the store until it has the lease.
+func (w *world) leaseThenCut(h *hostNode) {
+	w.link(h.name, storeName)
+	for end := w.now + 5*time.Second; w.now < end && !h.at(w.now).Before(h.cell.lease.until); {
+		w.until(w.now + 100*time.Microsecond)
+	}
+	w.cutLinks(h.name, storeName)
+}
+
 // droppedBackers drops an old lead and its backer from the roster, then cuts
 // the successor from a target that the old lead still renews.
 func droppedBackers(w *world) {
@@ -173,11 +196,7 @@
 	for _, h := range w.others(a) {
 		w.crashHost(h, time.Hour)
 	}
-	w.link(a.name, storeName)
-	for end := w.now + 5*time.Second; w.now < end && !a.at(w.now).Before(a.cell.lease.until); {
-		w.until(w.now + 100*time.Microsecond)
-	}
-	w.cutLinks(a.name, storeName)
+	w.leaseThenCut(a)
 }
 
 // TestRulesBite plays scripts that random runs reach too seldom: each is safe
@@ -198,6 +217,9 @@
 		"exclusive promises": {
 			movedBacker, options{hosts: 3, targets: 4}, func(o *options) { o.knobs.sharedPromises = true },
 		},
+		"hold ends leading": {
+			evictedLead, options{hosts: 3, targets: 4, hold: 5 * time.Second}, func(o *options) { o.knobs.holdOver = true },
+		},
 		"lost hosts leave promises behind": {
 			lostBacker, options{hosts: 3, targets: 4}, func(o *options) { o.knobs.lostAtOnce = true },
 		},
--- a/internal/cell/run_test.go
+++ b/internal/cell/run_test.go
@@ -126,6 +126,7 @@
 		"promise of a lost host outlives the declaration":       41097,
 		"grants of a lost host outlive the declaration":         1551,
 		"target answers although it is declared lost":           106553,
+		"standby granted again after the hold":                  2002020,
 		"stale lead grants to a restarted target":               435,
 		"a pause between two effects reorders published tables": 1660,
 	}
@@ -176,5 +177,6 @@
 	{"lease counts from sending", func(o *options) { o.knobs.leaseFromAnswer = true }},
 	{"lost hosts leave promises behind", func(o *options) { o.knobs.lostAtOnce = true }},
 	{"hold counts from the lease", func(o *options) { o.knobs.holdContact, o.hold = true, 5*time.Second }},
+	{"hold ends leading", func(o *options) { o.knobs.holdOver, o.hold = true, 5*time.Second }},
 	{"lease got back is verified", func(o *options) { o.knobs.leaseUnverified = true }},
 }
