A look-up whose connection was cut is not resent by the load's HTTP client

net/http sends a GET again by itself; not-run for the second copy was then read as false for the first. The call now ends without an answer, which counts as lost: stricter. The bad ends name their cause.

--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -40,6 +41,11 @@
 	reasonLimited  = "limited"
 )
 
+// errResent ends a look-up whose connection was cut: net/http would send it
+// again by itself. An answer not-run to the second copy then says nothing of
+// the first, which may have run.
+var errResent = errors.New("load: connection cut before the answer")
+
 // ending is how a call ended for its caller.
 type ending uint8
 
@@ -67,6 +73,7 @@
 	ending ending
 	reason string
 	status int
+	err    error // of the connection
 }
 
 // caller makes calls through a balancer.
@@ -104,20 +111,29 @@
 
 // send makes one try; sent is false where not one byte went out.
 func (c *caller) send(ctx context.Context, addr netip.AddrPort, call call) (end ended, sent bool) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	var wrote atomic.Bool
-	trace := &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }}
+	trace := &httptrace.ClientTrace{
+		GetConn: func(string) {
+			if wrote.Load() {
+				cancel(errResent)
+			}
+		},
+		WroteHeaders: func() { wrote.Store(true) },
+	}
 	request, err := call.request(httptrace.WithClientTrace(ctx, trace), addr)
 	if err != nil {
 		return ended{ending: endLost, reason: "bad request"}, true
 	}
 	response, err := c.client.Do(request)
 	if err != nil {
-		return ended{ending: endLost, reason: "connection"}, wrote.Load()
+		return ended{ending: endLost, reason: "connection", err: errors.Join(err, context.Cause(ctx))}, wrote.Load()
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return ended{ending: endWrong, reason: "cut", status: response.StatusCode}, true
+		return ended{ending: endWrong, reason: "cut", status: response.StatusCode, err: err}, true
 	}
 	return call.judge(response, body), true
 }
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -26,6 +26,7 @@
 	byClass   map[settings.Class]*hdrhistogram.Histogram
 	done      []string // operations, to compare with what ran
 	notRun    []string
+	refused   []refusal // of notRun
 	counts    Counts
 	reasons   map[string]uint64
 	outages   *Outages
@@ -34,6 +35,12 @@
 	lastDone  time.Time
 }
 
+// refusal is what a caller was told of an operation that did not run.
+type refusal struct {
+	service key.Service
+	reason  string
+}
+
 // Counts is how many calls ended in each way.
 type Counts struct {
 	Requests, Done, NotRun, Unknown, Lost, Wrong uint64
@@ -67,14 +74,15 @@
 	case endNotRun:
 		r.counts.NotRun++
 		r.notRun = append(r.notRun, c.operation)
+		r.refused = append(r.refused, refusal{service: c.stream.Service, reason: end.reason})
 	case endUnknown:
 		r.counts.Unknown++
 	case endLost:
 		r.counts.Lost++
-		r.example("no answer: %s %s: %s, status %d", c.stream.Method, c.uri(), end.reason, end.status)
+		r.example("no answer after %s: %s %s: %s, status %d, %v", now.Sub(c.due), c.stream.Method, c.uri(), end.reason, end.status, end.err)
 	case endWrong:
 		r.counts.Wrong++
-		r.example("wrong answer: %s %s: %s, status %d", c.stream.Method, c.uri(), end.reason, end.status)
+		r.example("wrong answer: %s %s: %s, status %d, %v", c.stream.Method, c.uri(), end.reason, end.status, end.err)
 	}
 	r.reasons[end.reason]++
 	if !shed(end.reason) {
@@ -181,7 +189,8 @@
 	for i, n := range counts {
 		if n > 0 {
 			s.FalseNotRun++
-			r.example("false not-run: operation %s ran %d times", r.notRun[i], n)
+			r.example("false not-run: operation %s of %s ran %d times, refused as %s",
+				r.notRun[i], r.refused[i].service, n, r.refused[i].reason)
 		}
 	}
 	if counts, err = runs(r.done); err != nil {
