Each probe is a call of its own

Cause: probes shared one variable for their call, so that on a starved machine two probes sent the same operation; one was refused, the other ran, and the refusal was counted as a false not-run. Ruled out: a resend by the HTTP client, the entries' own second try. The new test states the rule, but passes without the change too: the window opens on a starved machine only.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= $(shell date +%s)
 RULES ?= 0
 BINARIES = citrontray-entry citrontray-lead citrontray citrontray-lab
-DECISIONS = ./internal/cell/... ./internal/placement/... ./internal/queue/... ./internal/settings/... ./internal/spread/... ./internal/custody/...
+DECISIONS = ./internal/cell/... ./internal/placement/... ./internal/queue/... ./internal/settings/... ./internal/spread/... ./internal/custody/... ./internal/load/...
 
 .PHONY: help build test race fmt fmt-check lint vet demo bench soak capacity ci clean
 
--- a/internal/load/generator.go
+++ b/internal/load/generator.go
@@ -154,16 +154,17 @@
 	defer ticker.Stop()
 	var served atomic.Bool
 	for range probeTries {
+		next := c // each probe is a call of its own
 		select {
 		case now := <-ticker.C:
-			c.operation, c.due, c.probe = g.operation(), now, true
+			next.operation, next.due, next.probe = g.operation(), now, true
 		case <-ctx.Done():
 			return
 		}
 		if served.Load() {
 			return
 		}
-		g.waiting.Go(func() { g.runProbe(c, at, &served) })
+		g.waiting.Go(func() { g.runProbe(next, at, &served) })
 	}
 }
 
--- a/internal/load/generator_test.go
+++ b/internal/load/generator_test.go
@@ -108,6 +108,30 @@
 	}
 }
 
+// Probes that shared one call sent the same operation twice: the first was
+// refused, the second ran, and the refusal was counted as false. Without the
+// race detector this shows on a starved machine only.
+func TestProbesAreCallsOfTheirOwn(t *testing.T) {
+	entry := &entryFake{runs: make(map[string]uint32)}
+	entry.how = func(w http.ResponseWriter, _ string, _ []byte, run func()) {
+		run()
+		time.Sleep(2 * time.Second / 5) // the next probe starts meanwhile
+		w.Header().Set("Citrontray-Outcome", "unknown")
+		w.WriteHeader(http.StatusBadGateway)
+	}
+	server := httptest.NewServer(entry)
+	defer server.Close()
+	addr := netip.MustParseAddrPort(server.Listener.Addr().String())
+	balancer := load.NewBalancer([]load.EntryHost{{Callers: addr, Admin: addr}})
+	balancer.Refresh(context.Background())
+	runUntil(t, load.NewGenerator(planOf(t, 0.002), balancer, "t", 1), 200)
+	entry.mu.Lock()
+	defer entry.mu.Unlock()
+	for operation, runs := range entry.runs {
+		assert.Equal(t, runs, uint32(1), "operation %s", operation)
+	}
+}
+
 // runUntil runs the generator until so many calls have ended, however long a
 // busy machine takes for it.
 func runUntil(t *testing.T, g *load.Generator, requests uint64) {
