--- a/internal/cell/run_test.go
+++ b/internal/cell/run_test.go
@@ -36,6 +36,29 @@
 	return n
 }
 
+// stats counts what happened in a run, to tell whether it reached anything.
+// Served and samples count shards in custody, ten times a second.
+type stats struct {
+	moves, terms, activated, deputies, cuts, given, unknown, declared, rosters, joins, evicted int
+	served, samples                                                                            int
+}
+
+func (s *stats) add(o stats) {
+	s.moves += o.moves
+	s.terms += o.terms
+	s.activated += o.activated
+	s.deputies += o.deputies
+	s.cuts += o.cuts
+	s.given += o.given
+	s.unknown += o.unknown
+	s.declared += o.declared
+	s.rosters += o.rosters
+	s.joins += o.joins
+	s.evicted += o.evicted
+	s.served += o.served
+	s.samples += o.samples
+}
+
 // report is the outcome of many runs.
 type report struct {
 	mu     sync.Mutex
@@ -152,5 +175,6 @@
 	{"lost answer is not a failure", func(o *options) { o.knobs.assumeLost = true }},
 	{"lease counts from sending", func(o *options) { o.knobs.leaseFromAnswer = true }},
 	{"lost hosts leave promises behind", func(o *options) { o.knobs.lostAtOnce = true }},
+	{"hold counts from the lease", func(o *options) { o.knobs.holdContact, o.hold = true, 5*time.Second }},
 	{"lease got back is verified", func(o *options) { o.knobs.leaseUnverified = true }},
 }
