--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -52,7 +52,7 @@
       ;;
     entry)
       "$BIN/citrontray-entry" "${common[@]}" --peer-address "$entry_peer" --lead "$lead_peer" \
-        --http-address "$callers" --admin-address "$entry_admin" \
+        ${ENTRY_FLAGS:-} --http-address "$callers" --admin-address "$entry_admin" \
         2>>"$RUN/entry-$host.log" 3>&- 4>&- &
       ;;
   esac
