--- a/internal/entry/homes.go
+++ b/internal/entry/homes.go
@@ -25,6 +25,9 @@
 	// handed to, pingTimeout how long its answer may take.
 	pingInterval = 100 * time.Millisecond
 	pingTimeout  = 200 * time.Millisecond
+	// maxMissed is the pings in a row that a host may leave unanswered: a busy
+	// host misses one, and suspecting it breaks off the look-ups handed to it.
+	maxMissed = 3
 	// pingIdle is how long after the last hand-over a host is pinged.
 	pingIdle = 2 * time.Second
 	// maxPings bounds the pings of one round; with more hosts in use each is
@@ -45,6 +48,7 @@
 	used      time.Time
 	suspected bool
 	pinging   bool
+	missed    int // pings in a row without an answer
 	gone      context.Context
 	leave     context.CancelFunc
 }
@@ -151,12 +155,28 @@
 	s.leave()
 }
 
+// miss counts a ping without an answer; it reports whether they are too many.
+func (h *homes) miss(host place.Host) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.rows[host]
+	if s == nil {
+		return false
+	}
+	s.missed++
+	return s.missed >= maxMissed
+}
+
 // trust takes a host back that answered a ping.
 func (h *homes) trust(host place.Host) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.rows[host]
-	if s == nil || !s.suspected {
+	if s == nil {
+		return
+	}
+	s.missed = 0
+	if !s.suspected {
 		return
 	}
 	s.suspected = false
@@ -209,11 +229,11 @@
 	defer cancel()
 	_, err := e.cfg.Link.Call(ctx, p.addr, peer.KindWork, nil)
 	e.homes.pinged(p.host)
-	if err != nil {
+	if err == nil {
+		e.homes.trust(p.host)
+	} else if e.homes.miss(p.host) {
 		e.homes.suspect(p.host)
-		return
 	}
-	e.homes.trust(p.host)
 }
 
 // loopPings asks the hosts that work is handed to whether they are there: a
