--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -82,7 +82,7 @@
 		p.remember(now, m)
 		out = append(out, m.planned(layout))
 	}
-	return out
+	return append(out, p.joins(now, cfg, loads, b)...)
 }
 
 func (p *Planner) expire(now time.Time) {
--- a/internal/placement/world_test.go
+++ b/internal/placement/world_test.go
@@ -229,11 +229,31 @@
 	return n
 }
 
+// rejoin puts a solo key back into its shard and returns the moves of
+// ownership that this takes.
+func (w *world) rejoin(row int) int {
+	solo := w.layout.Rows[row]
+	parent := w.layout.Rows[w.rowOf[solo.Hash.Shard(simShards)]]
+	delete(w.soloOf, solo.Hash)
+	w.layout.Rows = slices.Delete(w.layout.Rows, row, row+1)
+	for i, r := range w.layout.Rows {
+		w.rowOf[r.Shard] = i
+	}
+	if parent.Owner == solo.Owner {
+		return 0
+	}
+	return 1
+}
+
 // carryOut does what a cell does with a plan, and returns the moves of
 // ownership and how many of them were of whole shards.
 func (w *world) carryOut(plan []cell.PlannedMove) (moves, whole int) {
 	for _, m := range plan {
 		row := w.rowOf[m.Shard]
+		if m.Join {
+			moves += w.rejoin(row)
+			continue
+		}
 		if m.Cut {
 			w.soloOf[m.Solo] = w.next
 			w.rowOf[w.next] = len(w.layout.Rows)
