Scripts that run at the same time draw different ports

deployconsortium failed once in some 50 runs of all scripts: an entry was not ready within 30 s. The log was not kept; two scripts could draw one port before their daemons listened, by chance once in 70 runs, which fits and is mended. Unproven as the cause: 38 runs before the change, all scripts, did not repeat it.

--- a/cmd/citrontray/deploy_test.go
+++ b/cmd/citrontray/deploy_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -98,15 +99,27 @@
 	farm.Register(time.Now(), store.Platform)
 }
 
+// ports are those that scripts of this process took: scripts run at the same
+// time, and one port was drawn by two before their daemons listened.
+var ports = struct {
+	sync.Mutex
+	taken map[netip.AddrPort]bool
+}{taken: make(map[netip.AddrPort]bool)}
+
 // freeAddrs returns loopback addresses whose ports are free for TCP and UDP.
 func freeAddrs(count int) ([]netip.AddrPort, error) {
 	const tries = 1000
+	ports.Lock()
+	defer ports.Unlock()
 	var out []netip.AddrPort
 	for range tries {
 		if len(out) == count {
 			return out, nil
 		}
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+rand.IntN(lastPort-firstPort)))
+		if ports.taken[addr] {
+			continue
+		}
 		listener, err := net.Listen("tcp", addr.String())
 		if err != nil {
 			continue
@@ -117,6 +130,7 @@
 			continue
 		}
 		defer func() { _ = packets.Close() }()
+		ports.taken[addr] = true
 		out = append(out, addr)
 	}
 	return nil, fmt.Errorf("%d of %d free ports found", len(out), count)
