--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -160,10 +160,10 @@
 	}
 	ticket, verdict, out, pushed := l.queue.Push(now.Add(l.serving.most()), e, l.pace()*waitMargin/100)
 	if verdict != queue.Queued {
-		return dropped{l.overload(verdict)}
+		return dropped{l.overload()}
 	}
 	if pushed {
-		out.wake <- dropped{l.overload(queue.Full)}
+		out.wake <- dropped{l.overload()}
 	}
 	w.ticket = ticket
 	l.start(now)
@@ -185,7 +185,7 @@
 }
 
 // overload tells the caller when the queue as it is will be worked off.
-func (l *lane) overload(_ queue.Verdict) outcome.NotRunFailure {
+func (l *lane) overload() outcome.NotRunFailure {
 	wait := time.Duration(l.queue.Len()+1) * l.pace()
 	return outcome.NotRunFailure{Reason: outcome.Overload, RetryAfter: max(wait, time.Second)}
 }
