--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -11,6 +11,8 @@
 	"gotest.tools/v3/assert"
 
 	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/load"
+	"citrontray.example/citrontray/internal/standin"
 )
 
 func TestDirectorAsksALineAtATime(t *testing.T) {
@@ -75,3 +77,31 @@
 		}
 	}
 }
+
+func TestBrokenInvariants(t *testing.T) {
+	cut := load.Summary{Counts: load.Counts{Done: 1}, Reasons: map[string]uint64{"answer-cut": 2}}
+	tests := map[string]struct {
+		scenario Scenario
+		ledger   standin.LedgerCounts
+		summary  load.Summary
+		broken   string
+	}{
+		"all held":                    {summary: load.Summary{Counts: load.Counts{Done: 1}}},
+		"cut by a fault":              {summary: cut},
+		"cut though nothing failed":   {scenario: Scenario{Planned: true}, summary: cut, broken: "2 requests cut though nothing failed"},
+		"doubled owner":               {ledger: standin.LedgerCounts{DoubledOwner: 1}, summary: cut, broken: "1 doubled owners"},
+		"doubled run":                 {ledger: standin.LedgerCounts{DoubledRun: 1}, summary: cut, broken: "1 doubled runs"},
+		"false not-run":               {summary: load.Summary{FalseNotRun: 3, Counts: load.Counts{Done: 1}}, broken: "3 answers said not-run of what ran"},
+		"done, never ran":             {summary: load.Summary{Unrun: 1, Counts: load.Counts{Done: 1}}, broken: "1 answers said done of what did not run"},
+		"no answer":                   {summary: load.Summary{Counts: load.Counts{Done: 1, Lost: 1}}, broken: "1 requests without an answer"},
+		"another's answer":            {summary: load.Summary{Counts: load.Counts{Done: 1, Wrong: 1}}, broken: "1 answers cut or not the request's own"},
+		"nothing done under any load": {scenario: Scenario{Load: 0.1}, broken: "nothing was done"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := &Run{Config: Config{Scenario: tt.scenario}, farm: standin.NewFarm(nil, nil)}
+			got := r.broken(snapshot{ledger: tt.ledger}, tt.summary)
+			assert.Equal(t, strings.Join(got, "; "), tt.broken)
+		})
+	}
+}
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -15,6 +15,12 @@
 // leavingBound is for how long a leaving target may get new work.
 const leavingBound = 3 * time.Second
 
+// The reasons that callers are told where a request was cut.
+const (
+	reasonAnswerCut = "answer-cut"
+	reasonSendCut   = "send-cut"
+)
+
 // Report is what a run measured.
 type Report struct {
 	Values []Value
@@ -184,6 +190,9 @@
 	check(s.Unrun, "answers said done of what did not run")
 	check(s.Lost, "requests without an answer")
 	check(s.Wrong, "answers cut or not the request's own")
+	if r.Scenario.Planned {
+		check(s.Reasons[reasonAnswerCut]+s.Reasons[reasonSendCut], "requests cut though nothing failed")
+	}
 	if s.Done == 0 && r.Scenario.Load > 0 {
 		out = append(out, "nothing was done")
 	}
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -26,6 +26,8 @@
 	// can make more load than the targets have capacity; zero stands for 1.
 	Slowdown int
 	Hot      load.HotSet
+	// Planned tells that nothing fails: no request may be cut then.
+	Planned bool
 	// Network puts a network that can be cut between the hosts' peers.
 	Network bool
 	// Settings tells to measure when settings are in force.
@@ -173,7 +175,7 @@
 		},
 		{
 			Name: "steady", About: "an even load, no faults",
-			Length: 15 * time.Second, Load: baseLoad,
+			Length: 15 * time.Second, Load: baseLoad, Planned: true,
 		},
 		{
 			Name: "targetloss", About: "one target is killed and comes back 10 s later",
@@ -192,7 +194,7 @@
 		},
 		{
 			Name: "drain", About: "an operator drains one target",
-			Length: 15 * time.Second, Load: baseLoad,
+			Length: 15 * time.Second, Load: baseLoad, Planned: true,
 			Steps: []Step{{4 * time.Second, DrainTarget{0}}},
 		},
 	}
@@ -217,7 +219,7 @@
 		},
 		{
 			Name: "rolling", About: "the entry hosts are replaced one by one",
-			Length: 30 * time.Second, Load: baseLoad,
+			Length: 30 * time.Second, Load: baseLoad, Planned: true,
 			Steps: rolling(9, 3*time.Second),
 		},
 	}
@@ -287,7 +289,7 @@
 		},
 		{
 			Name: "settingsrace", About: "ten operators write the same settings at once, three times",
-			Length: 15 * time.Second, Load: baseLoad, Settings: true,
+			Length: 15 * time.Second, Load: baseLoad, Planned: true, Settings: true,
 			Steps: []Step{
 				{2 * time.Second, RaceSettings{}},
 				{5 * time.Second, RaceSettings{}},
@@ -306,7 +308,7 @@
 		},
 		{
 			Name: "hotkeys", About: "74 keys take half of the load; they change every 8 s",
-			Length: 32 * time.Second, Load: baseLoad, Hot: hotSet(0),
+			Length: 32 * time.Second, Load: baseLoad, Planned: true, Hot: hotSet(0),
 			Steps: []Step{
 				{8 * time.Second, SetHot{hotSet(1)}},
 				{16 * time.Second, SetHot{hotSet(2)}},
