--- a/internal/cell/scenario_test.go
+++ b/internal/cell/scenario_test.go
@@ -66,9 +66,9 @@
 // shard is without an owner.
 func TestServedAgain(t *testing.T) {
 	const loss, long = 4 * time.Second, time.Hour
-	seeds := uint64(20)
+	seeds := uint64(60)
 	if testing.Short() {
-		seeds = 400
+		seeds = 3
 	}
 	tests := map[string]struct {
 		faults func(w *world)
