A service made anew keeps its number of shards

Cause: custody, cells and their epochs of a deleted service stay in the store; made anew with another number of shards, the leads and the custody document disagreed. Before: not caught by the checks of the settings. After: the custody document's number counts, tested. Conclusion: another number of shards takes another name for the service.

--- a/internal/lead/daemon.go
+++ b/internal/lead/daemon.go
@@ -15,7 +15,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"citrontray.example/citrontray/internal/cell"
-	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/metric"
 	"citrontray.example/citrontray/internal/peer"
 	"citrontray.example/citrontray/internal/place"
@@ -155,14 +154,14 @@
 }
 
 // cellConfig derives the core's configuration from the settings.
-func (d *Daemon) cellConfig(s settings.Service) cell.Config {
+func (d *Daemon) cellConfig(v *view, s settings.Service) cell.Config {
 	return cell.Config{
 		ID:               cell.ID{Service: s.Name, Zone: d.cfg.Zone},
 		Self:             d.cfg.Host,
 		SelfAddr:         d.cfg.PeerAddr,
 		Incarnation:      d.cfg.Incarnation,
 		Timing:           d.cfg.Timing,
-		Shards:           shardCount(s),
+		Shards:           v.shards(s),
 		ChecksTerms:      s.ChecksTerms,
 		Hold:             s.Hold,
 		MovesPerMinute:   s.MovesPerMinute,
@@ -170,11 +169,3 @@
 		WarmUp:           s.WarmUp,
 	}
 }
-
-// shardCount returns the shards of a service, or the default.
-func shardCount(s settings.Service) key.ShardCount {
-	if s.Shards == 0 {
-		return key.DefaultShardCount
-	}
-	return s.Shards
-}
--- a/internal/lead/evict_test.go
+++ b/internal/lead/evict_test.go
@@ -61,7 +61,7 @@
 	d := New(Config{Host: "host-b", Zone: "b", Timing: cell.DefaultTiming()}, Parts{
 		Store: z.platform, Link: z.link, Board: spread.New(), Log: journal.Nop(),
 	})
-	r := newRunner(d, d.cellConfig(z.service))
+	r := newRunner(d, d.cellConfig(&view{}, z.service))
 	r.state.store(cell.Status{ID: cellB, LeaseHeld: true})
 	d.runners[cellB] = r
 	z.keeper = newKeeper(d)
--- a/internal/lead/keeper.go
+++ b/internal/lead/keeper.go
@@ -86,7 +86,7 @@
 	if _, err := k.store.Get(ctx, custody.Path(s.Name)); !errors.Is(err, platform.ErrNotFound) {
 		return // it is there and on its way to the board, or the store is out
 	}
-	doc := custody.First(s.Name, shardCount(s), v.weights(s))
+	doc := custody.First(s.Name, v.shards(s), v.weights(s))
 	if len(doc.Rows) > 0 {
 		k.write(ctx, doc, 0)
 	}
--- a/internal/lead/reconciler.go
+++ b/internal/lead/reconciler.go
@@ -56,7 +56,7 @@
 func (r reconciler) reconcile(v *view) {
 	wanted := make(map[cell.ID]bool)
 	for _, s := range v.services(r.cfg.Zone) {
-		cfg := r.cellConfig(s)
+		cfg := r.cellConfig(v, s)
 		wanted[cfg.ID] = true
 		run := r.ensure(cfg)
 		for _, ev := range v.events(cfg, s) {
--- a/internal/lead/reconciler_test.go
+++ b/internal/lead/reconciler_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"citrontray.example/citrontray/internal/custody"
+	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/settings"
 )
@@ -41,3 +42,12 @@
 	assert.Equal(t, len(z.runners), 0)
 	<-run.gone
 }
+
+// TestShardsOfAServiceMadeAnewStay: a service was deleted, and came back with
+// another number of shards.
+func TestShardsOfAServiceMadeAnewStay(t *testing.T) {
+	z := newZones(t, 0)
+	z.round(t, time.Second)
+	z.service.Shards = 64
+	assert.Equal(t, z.cellConfig(z.view, z.service).Shards, key.ShardCount(16))
+}
--- a/internal/lead/view.go
+++ b/internal/lead/view.go
@@ -47,6 +47,19 @@
 	return slices.Clone(v.settings.Services)
 }
 
+// shards returns the number of hash-range shards of a service. Once there is a
+// custody document it is that document's: a service that was deleted and made
+// anew with another number keeps the old one, as its epochs count on it.
+func (v *view) shards(s settings.Service) key.ShardCount {
+	if n := len(v.custody[s.Name].Rows); n > 0 {
+		return key.ShardCount(n)
+	}
+	if s.Shards == 0 {
+		return key.DefaultShardCount
+	}
+	return s.Shards
+}
+
 // hosts returns the entry hosts of the zone.
 func (v *view) hosts(zone place.Zone) []place.HostRow {
 	var out []place.HostRow
