--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -95,6 +95,8 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	draining atomic.Bool
+	// handed counts the work of other entry hosts that runs here.
+	handed   atomic.Int64
 	stopOnce sync.Once
 	stopping chan struct{}
 }
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -212,6 +212,8 @@
 	if len(body) == 0 {
 		return nil, nil // a ping
 	}
+	e.handed.Add(1)
+	defer e.handed.Add(-1)
 	now := time.Now()
 	w, err := decodeWork(now, body)
 	if err != nil {
@@ -234,6 +236,20 @@
 	return encodeResult(result, w.waited)
 }
 
+// waitHanded waits until the work that other hosts handed over has ended: a
+// planned stop would cut it with the link.
+func (e *Entry) waitHanded(ctx context.Context) {
+	ticker := time.NewTicker(stopPoll)
+	defer ticker.Stop()
+	for e.handed.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // takesOver reports whether this host runs a request that was handed to it:
 // not while it stops, nor before it has the service's table. One with an
 // idempotency key runs nowhere but at the home of its key.
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -189,7 +189,7 @@
 		Board:          board,
 		Host:           d.opts.Host,
 		Zone:           d.opts.Zone,
-		Sharing:        ShareMixed,
+		Sharing:        ShareAdaptive,
 		Link:           d.link,
 		DecodeSettings: settings.Decode,
 		DecodeTable:    table.Decode,
@@ -273,6 +273,7 @@
 		d.log.Warn("Requests were cut at the end of the stop.", slog.Any("error", err))
 		return d.server.Close()
 	}
+	d.entry.waitHanded(bound)
 	return nil
 }
 
