One run from flags to exit code for the daemons; help only where asked for

Cause: entry and lead had the same flags and start in two copies, and a wrong flag printed half of the help before its message. After: internal/program, used by the lead; one line and exit code 2.

--- a/internal/lead/main.go
+++ b/internal/lead/main.go
@@ -8,8 +8,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -24,99 +22,61 @@
 	"citrontray.example/citrontray/internal/peer"
 	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/platform"
+	"citrontray.example/citrontray/internal/program"
 	"citrontray.example/citrontray/internal/spread"
 	"citrontray.example/citrontray/internal/status"
 	"citrontray.example/citrontray/internal/target"
-	"citrontray.example/citrontray/internal/version"
 )
 
+// maxDriftPerMil is the widest clock-rate margin that the flags take.
+const maxDriftPerMil = 200
+
 // Options is what the flags and environment variables of the program say.
 type Options struct {
-	Host        place.Host
-	Zone        place.Zone
-	Region      place.Region
-	Platform    []netip.AddrPort
-	Peer        netip.AddrPort
-	Peers       []netip.AddrPort
-	Admin       netip.AddrPort
-	Operator    netip.AddrPort
-	Bootstrap   [32]byte
-	Keys        string
-	Timing      cell.Timing
-	StopTimeout time.Duration
-	LogJSON     bool
-	Verbose     bool
-	Version     bool
+	program.Options
+
+	Operator  netip.AddrPort
+	Bootstrap [32]byte
+	Timing    cell.Timing
 }
 
-// Main runs the program and returns its exit code: 0 after a planned stop, 1
-// after a failure, 2 for bad input, where nothing was started.
+// Main runs the program and returns its exit code.
 func Main(args []string, out, errOut io.Writer) int {
-	opts, err := ReadOptions(args, out)
-	switch {
-	case errors.Is(err, option.ErrHelp):
-		return 0
-	case err != nil:
-		fmt.Fprintln(errOut, err)
-		return option.ExitUsage
-	case opts.Version:
-		fmt.Fprintln(out, "citrontray-lead", version.String())
-		return 0
-	}
-	level := slog.LevelInfo
-	if opts.Verbose {
-		level = slog.LevelDebug
-	}
-	log := journal.Part(journal.New(errOut, level, opts.LogJSON), "lead")
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	return serve(ctx, opts, log, errOut)
+	return program.Main("citrontray-lead", "lead", &Options{}, args, out, errOut)
 }
 
-// ReadOptions parses the flags; it returns all findings together.
-func ReadOptions(args []string, out io.Writer) (Options, error) {
-	var o Options
-	var platformAddrs, peerAddr, peerAddrs, adminAddr, operatorAddr, bootstrap string
+// Read implements program.Opener; it returns all findings together.
+func (o *Options) Read(args []string, out io.Writer) (program.Options, error) {
+	var operatorAddr, bootstrap string
 	set := option.New("citrontray-lead", "grants shards to targets and keeps who owns what; one runs on every entry host", out)
-	set.StringVar((*string)(&o.Host), "host", "", "name of this entry host")
-	set.StringVar((*string)(&o.Zone), "zone", "", "availability zone of this host")
-	set.StringVar((*string)(&o.Region), "region", "", "region of this host")
-	set.StringVar(&platformAddrs, "platform", "", "addresses of the platform's service, IP:PORT[,IP:PORT]")
-	set.StringVar(&peerAddr, "peer-address", "", "UDP address that other hosts reach this process at, IP:PORT")
-	set.StringVar(&peerAddrs, "peers", "", "peer addresses of lead processes to start from, IP:PORT[,IP:PORT]")
-	set.StringVar(&adminAddr, "admin-address", "127.0.0.1:9701", "address of /live, /ready, /metrics and /status")
+	flags := program.Declare(set, &o.Options, program.Defaults{Admin: "127.0.0.1:9701", StopTimeout: 5 * time.Second})
 	set.StringVar(&operatorAddr, "operator-address", "", "address of the operators' API, IP:PORT; empty for none")
 	set.StringVar(&bootstrap, "operator-bootstrap", "", "hash of the credential that may write until the settings name an operator of the platform")
-	set.StringVar(&o.Keys, "keys", "", "directory with the authority's certificate and this host's key")
-	set.DurationVar(&o.StopTimeout, "stop-timeout", 5*time.Second, "longest time of a planned stop")
-	set.BoolVar(&o.LogJSON, "log-json", false, "write logs as JSON")
-	set.BoolVar(&o.Verbose, "verbose", false, "log more")
-	set.BoolVar(&o.Version, "version", false, "print the version and end")
-	timing := cell.DefaultTiming()
-	set.DurationVar(&timing.Renew, "renew", timing.Renew, "time between two renewals of a target")
-	set.DurationVar(&timing.Grant, "grant", timing.Grant, "length of a grant")
-	set.DurationVar(&timing.Lease, "lease", timing.Lease, "length of the lead's lease in the platform's service")
-	set.DurationVar(&timing.LeaseRenew, "lease-renew", timing.LeaseRenew, "time between two renewals of that lease")
-	set.DurationVar(&timing.Promise, "promise", timing.Promise, "length of a roster host's promise")
-	set.IntVar(&timing.DriftPerMil, "drift", timing.DriftPerMil, "clock-rate margin, in thousandths")
+	o.Timing = cell.DefaultTiming()
+	declareTiming(set, &o.Timing)
 	if err := set.Read(args); err != nil || o.Version {
-		return o, err
+		return o.Options, err
+	}
+	flags.Check()
+	if len(o.Platform) == 0 {
+		set.Required("platform", "")
 	}
-	set.Required("host", string(o.Host))
-	set.Required("zone", string(o.Zone))
-	set.Required("platform", platformAddrs)
-	set.Required("keys", o.Keys)
-	o.Platform = set.Addresses("platform", platformAddrs)
-	o.Peer = set.Address("peer-address", peerAddr)
-	o.Peers = set.Addresses("peers", peerAddrs)
-	o.Admin = set.Address("admin-address", adminAddr)
 	if operatorAddr != "" {
 		o.Operator = set.Address("operator-address", operatorAddr)
 	}
 	o.Bootstrap = operator.ParseBootstrap(bootstrap, &set.Findings)
-	o.Timing = timing
-	checkTiming(set, timing)
-	return o, set.Findings.Err()
+	checkTiming(set, o.Timing)
+	return o.Options, set.Findings.Err()
+}
+
+// declareTiming declares the durations of the ownership rules.
+func declareTiming(set *option.Set, t *cell.Timing) {
+	set.DurationVar(&t.Renew, "renew", t.Renew, "time between two renewals of a target")
+	set.DurationVar(&t.Grant, "grant", t.Grant, "length of a grant")
+	set.DurationVar(&t.Lease, "lease", t.Lease, "length of the lead's lease in the platform's service")
+	set.DurationVar(&t.LeaseRenew, "lease-renew", t.LeaseRenew, "time between two renewals of that lease")
+	set.DurationVar(&t.Promise, "promise", t.Promise, "length of a roster host's promise")
+	set.IntVar(&t.DriftPerMil, "drift", t.DriftPerMil, "clock-rate margin, in thousandths")
 }
 
 // checkTiming checks the durations against each other.
@@ -133,84 +93,86 @@
 	if t.Grant < t.Lease+t.Promise {
 		set.Findings.Add("--grant", "is shorter than the lease and a promise together", "a successor could not renew in time; raise it")
 	}
-	if t.DriftPerMil < 0 || t.DriftPerMil > 200 {
-		set.Findings.Add("--drift", "is not between 0 and 200", "thousandths by which clocks may run apart")
+	if t.DriftPerMil < 0 || t.DriftPerMil > maxDriftPerMil {
+		set.Findings.Add("--drift", fmt.Sprintf("is not between 0 and %d", maxDriftPerMil), "thousandths by which clocks may run apart")
 	}
 }
 
-// serve opens everything, then runs the parts until ctx ends.
-func serve(ctx context.Context, o Options, log *slog.Logger, errOut io.Writer) int {
+// process is a lead process with its sockets open.
+type process struct {
+	daemon  *Daemon
+	link    *peer.Peer
+	store   *platform.Client
+	metrics *metric.Registry
+	// others run for longer than the daemon: its handover needs them.
+	others []part
+}
+
+// part is what runs until its context ends.
+type part interface {
+	Run(ctx context.Context) error
+}
+
+// Open implements program.Opener: it reads the keys and binds all sockets.
+func (o *Options) Open(log *slog.Logger) (program.Daemon, error) {
 	material, err := keys.Load(time.Now(), o.Keys, o.Host, peer.RoleLead)
 	if err != nil {
-		fmt.Fprintf(errOut, "--keys: %v (make them with: citrontray keys host)\n", err)
-		return option.ExitUsage
+		return nil, fmt.Errorf("--keys: %w (make them with: citrontray keys host)", err)
 	}
-	link, err := peer.New(peer.Config{Listen: o.Peer, Keys: material, Log: log})
-	if err != nil {
-		fmt.Fprintf(errOut, "--peer-address: %v\n", err)
-		return option.ExitUsage
+	p := &process{metrics: metric.New("citrontray_lead")}
+	if p.link, err = peer.New(peer.Config{Listen: o.Peer, Keys: material, Log: log}); err != nil {
+		return nil, fmt.Errorf("--peer-address: %w", err)
 	}
-	defer func() { _ = link.Close() }()
-	metrics := metric.New("citrontray_lead")
-	defer func() { _ = metrics.Close() }()
-	board := spread.New()
-	store := platform.NewClient(platform.ClientConfig{
+	p.store = platform.NewClient(platform.ClientConfig{
 		Addrs: o.Platform, Timeout: storeTimeout, Host: o.Host, Zone: o.Zone,
 	})
-	defer store.Close()
-	daemon := New(Config{
-		Host: o.Host, Zone: o.Zone, Region: o.Region, PeerAddr: o.Peer,
-		Incarnation: place.Incarnation(rand.Uint64() | 1),
-		Timing:      o.Timing, StopTimeout: o.StopTimeout,
-	}, Parts{
-		Store: store, Link: link, Board: board, Control: target.NewControl(orderTimeout),
-		Log: log, Metrics: metrics,
-	})
-	pages, err := admin.Listen(o.Admin, metrics.Handler(), status.Handler(daemon))
+	board := spread.New()
+	p.daemon = o.daemon(p, board, log)
+	pages, err := admin.Listen(o.Admin, p.metrics.Handler(), status.Handler(p.daemon))
 	if err != nil {
-		fmt.Fprintf(errOut, "--admin-address: %v\n", err)
-		return option.ExitUsage
+		return nil, fmt.Errorf("--admin-address: %w", err)
 	}
+	pages.SetReady(true)
 	operators, err := operator.Listen(o.Operator, material.OperatorTLS(), operator.NewServer(operator.ServerConfig{
-		Store: store, Board: board, Bootstrap: o.Bootstrap, Log: journal.Part(log, "operator"),
+		Store: p.store, Board: board, Bootstrap: o.Bootstrap, Log: journal.Part(log, "operator"),
 	}))
 	if err != nil {
-		fmt.Fprintf(errOut, "--operator-address: %v\n", err)
-		return option.ExitUsage
+		return nil, fmt.Errorf("--operator-address: %w", err)
 	}
-	log.Info("Lead started.", slog.String("host", string(o.Host)), slog.String("zone", string(o.Zone)))
-	spreading := spread.NewNode(board, link, spread.Config{
-		Self: material.Self(), Seeds: o.Peers, Store: store, Log: log,
+	spreading := spread.NewNode(board, p.link, spread.Config{
+		Self: material.Self(), Addr: o.Peer, Seeds: o.Peers, Store: p.store, Log: log,
 	})
-	pages.SetReady(true)
-	if err := runAll(ctx, daemon, link, pages, spreading, operators, status.NewMeter(daemon, metrics)); err != nil {
-		log.Error("Lead failed.", slog.Any("error", err))
-		return 1
-	}
-	log.Info("Lead stopped.")
-	return 0
+	p.others = []part{p.link, pages, spreading, operators, status.NewMeter(p.daemon, p.metrics)}
+	return p, nil
 }
 
-// part is what runs until its context ends.
-type part interface {
-	Run(ctx context.Context) error
+// daemon returns the part that leads.
+func (o *Options) daemon(p *process, board spread.Board, log *slog.Logger) *Daemon {
+	return New(Config{
+		Host: o.Host, Zone: o.Zone, Region: o.Region, PeerAddr: o.Peer,
+		Incarnation: place.Incarnation(rand.Uint64() | 1),
+		Timing:      o.Timing, StopTimeout: o.StopTimeout,
+	}, Parts{
+		Store: p.store, Link: p.link, Board: board, Control: target.NewControl(orderTimeout),
+		Log: log, Metrics: p.metrics,
+	})
 }
 
-// runAll runs the parts until ctx ends or one fails. The link and the pages
-// outlive the daemon: its handover needs them.
-func runAll(ctx context.Context, daemon part, others ...part) error {
+// Run implements program.Daemon: it ends with ctx, or when a part fails.
+func (p *process) Run(ctx context.Context) error {
+	defer p.close()
 	outer, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, outer := errgroup.WithContext(outer)
-	for _, p := range others {
-		group.Go(func() error { return p.Run(outer) })
+	for _, other := range p.others {
+		group.Go(func() error { return other.Run(outer) })
 	}
 	group.Go(func() error {
 		defer cancel()
 		inner, stop := context.WithCancel(ctx)
 		defer stop()
 		context.AfterFunc(outer, stop)
-		return daemon.Run(inner)
+		return p.daemon.Run(inner)
 	})
 	err := group.Wait()
 	if errors.Is(err, context.Canceled) {
@@ -218,3 +180,10 @@
 	}
 	return err
 }
+
+// close closes what Open opened and no part closes by itself.
+func (p *process) close() {
+	_ = p.link.Close()
+	_ = p.metrics.Close()
+	p.store.Close()
+}
--- a/internal/option/option.go
+++ b/internal/option/option.go
@@ -28,37 +28,46 @@
 // Set is a flag set whose findings are collected.
 type Set struct {
 	*flag.FlagSet
+
 	Findings finding.List
+
+	about string
+	out   io.Writer
 }
 
 // New returns a set for the program, whose help goes to out. The about line
 // says in one sentence what the program does.
 func New(program, about string, out io.Writer) *Set {
 	fs := flag.NewFlagSet(program, flag.ContinueOnError)
-	fs.SetOutput(out)
-	s := &Set{FlagSet: fs}
-	fs.Usage = func() {
-		fmt.Fprintf(out, "%s: %s\n\nEach flag can also be set by an environment variable, %s_ and the flag's\nname in capitals with _ for -; a flag goes before its variable.\n\n", program, about, EnvPrefix)
-		fs.PrintDefaults()
-	}
-	return s
+	fs.SetOutput(io.Discard)
+	fs.Usage = func() {} // Read prints the help, and only where it was asked for
+	return &Set{FlagSet: fs, about: about, out: out}
 }
 
 // Read parses args and the environment. It returns ErrHelp after printing the
 // help, or a *finding.Error for an unknown or unparsable flag.
 func (s *Set) Read(args []string) error {
-	s.SetOutput(io.Discard) // ff prints the error itself otherwise
 	err := ff.Parse(s.FlagSet, args, ff.WithEnvVarPrefix(EnvPrefix))
 	if err == nil {
 		return nil
 	}
 	if errors.Is(err, flag.ErrHelp) {
+		s.help()
 		return ErrHelp
 	}
 	s.Findings.Add(s.Name(), err.Error(), "see --help")
 	return s.Findings.Err()
 }
 
+// help prints what the program does and its flags.
+func (s *Set) help() {
+	fmt.Fprintf(s.out, "%s: %s\n\n", s.Name(), s.about)
+	fmt.Fprintf(s.out, "Each flag can also be set by an environment variable, %s_ and the flag's\n", EnvPrefix)
+	fmt.Fprintf(s.out, "name in capitals with _ for -; a flag goes before its variable.\n\n")
+	s.SetOutput(s.out)
+	s.PrintDefaults()
+}
+
 // Address parses the value of a flag as an IP address and port. Host names are
 // a finding: hosts meet by IP number.
 func (s *Set) Address(name, value string) netip.AddrPort {
--- /dev/null
+++ b/internal/program/program.go
@@ -0,0 +1,130 @@
+// Package program holds what the daemons have in common on the command line:
+// the flags of an entry host, and a run from flags to exit code.
+package program
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/netip"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"citrontray.example/citrontray/internal/journal"
+	"citrontray.example/citrontray/internal/option"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/version"
+)
+
+// Options are the flags that every daemon takes.
+type Options struct {
+	Host        place.Host
+	Zone        place.Zone
+	Region      place.Region
+	Platform    []netip.AddrPort
+	Peer        netip.AddrPort
+	Peers       []netip.AddrPort
+	Admin       netip.AddrPort
+	Keys        string
+	StopTimeout time.Duration
+	LogJSON     bool
+	Verbose     bool
+	Version     bool
+}
+
+// Defaults are the values of Options that differ between the daemons.
+type Defaults struct {
+	Admin       string
+	StopTimeout time.Duration
+}
+
+// Flags is a flag set that declares Options.
+type Flags struct {
+	*option.Set
+
+	options *Options
+	// The addresses as they were written, parsed by Check.
+	platform, peer, peers, admin string
+}
+
+// Declare declares the flags of o on set.
+func Declare(set *option.Set, o *Options, d Defaults) *Flags {
+	f := &Flags{Set: set, options: o}
+	f.StringVar((*string)(&o.Host), "host", "", "name of this entry host")
+	f.StringVar((*string)(&o.Zone), "zone", "", "availability zone of this host")
+	f.StringVar((*string)(&o.Region), "region", "", "region of this host")
+	f.StringVar(&f.platform, "platform", "", "addresses of the platform's service, IP:PORT[,IP:PORT]; an entry does not use it")
+	f.StringVar(&f.peer, "peer-address", "", "UDP address that other hosts reach this process at, IP:PORT")
+	f.StringVar(&f.peers, "peers", "", "peer addresses of lead processes to start from, IP:PORT[,IP:PORT]")
+	f.StringVar(&f.admin, "admin-address", d.Admin, "address of /live, /ready, /metrics and /status")
+	f.StringVar(&o.Keys, "keys", "", "directory with the authority's certificate and this host's key")
+	f.DurationVar(&o.StopTimeout, "stop-timeout", d.StopTimeout, "longest time of a planned stop")
+	f.BoolVar(&o.LogJSON, "log-json", false, "write logs as JSON")
+	f.BoolVar(&o.Verbose, "verbose", false, "log more")
+	f.BoolVar(&o.Version, "version", false, "print the version and end")
+	return f
+}
+
+// Check parses the addresses and finds what is missing.
+func (f *Flags) Check() {
+	f.Required("host", string(f.options.Host))
+	f.Required("zone", string(f.options.Zone))
+	f.Required("keys", f.options.Keys)
+	f.options.Platform = f.Addresses("platform", f.platform)
+	f.options.Peer = f.Address("peer-address", f.peer)
+	f.options.Peers = f.Addresses("peers", f.peers)
+	f.options.Admin = f.Address("admin-address", f.admin)
+}
+
+// Daemon is a process whose sockets are open.
+type Daemon interface {
+	// Run works until ctx ends, then stops in a planned way.
+	Run(ctx context.Context) error
+}
+
+// Opener reads the flags in args, whose help goes to out, and opens the
+// daemon. Its error is a finding, ErrHelp or a socket that can't be had;
+// nothing goes on running then.
+type Opener interface {
+	Read(args []string, out io.Writer) (Options, error)
+	Open(log *slog.Logger) (Daemon, error)
+}
+
+// Main runs the program name, whose log lines carry the prefix part, and
+// returns its exit code: 0 after a planned stop, 1 after a failure, 2 for bad
+// input, where nothing was started.
+func Main(name, part string, opener Opener, args []string, out, errOut io.Writer) int {
+	o, err := opener.Read(args, out)
+	switch {
+	case errors.Is(err, option.ErrHelp):
+		return 0
+	case err != nil:
+		fmt.Fprintln(errOut, err)
+		return option.ExitUsage
+	case o.Version:
+		fmt.Fprintln(out, name, version.String())
+		return 0
+	}
+	level := slog.LevelInfo
+	if o.Verbose {
+		level = slog.LevelDebug
+	}
+	log := journal.Part(journal.New(errOut, level, o.LogJSON), part)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	daemon, err := opener.Open(log)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return option.ExitUsage
+	}
+	log.Info("Started.", slog.String("host", string(o.Host)), slog.String("zone", string(o.Zone)))
+	if err := daemon.Run(ctx); err != nil {
+		log.Error("Failed.", slog.Any("error", err))
+		return 1
+	}
+	log.Info("Stopped.")
+	return 0
+}
