--- a/internal/entry/soak_test.go
+++ b/internal/entry/soak_test.go
@@ -173,7 +173,7 @@
 func (s *soak) startEntry(host place.Host, link peer.Link) {
 	e := entry.New(entry.Config{
 		Board: s.board, DecodeSettings: s.board.decodeSettings, DecodeTable: s.board.decodeTable,
-		Log: journal.Nop(), Registry: metric.New("test"), Host: host, Link: link, Hosts: soakEntries, Queue: queue.DefaultConfig(),
+		Log: journal.Nop(), Registry: metric.New("test"), Host: host, Link: link, Sharing: entry.ShareAdaptive, Hosts: soakEntries, Queue: queue.DefaultConfig(),
 		Park: time.Second, Parked: 1000, Memory: 16 << 20, Tick: 5 * time.Millisecond,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
