--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -86,7 +86,7 @@
   plan_hosts && make_keys >"$RUN/keys.log" 2>&1 || { echo "no keys, see $RUN/keys.log" >&2; exit 1; }
   mkfifo "$RUN/requests" "$RUN/answers"
   exec 5<>"$RUN/requests" 6<>"$RUN/answers"
-  timeout "$RUN_SECONDS" "$BIN/citrontray-lab" bench --scenario "$SCENARIO" --preset "$PRESET" --load "$LOAD" --seed "$SEED" \
+  timeout -k 2 "$RUN_SECONDS" "$BIN/citrontray-lab" bench --scenario "$SCENARIO" --preset "$PRESET" --load "$LOAD" --seed "$SEED" \
     --hosts "$RUN/hosts" --platform "$PLATFORM" --processes "$RUN/processes" \
     3>&5 4<&6 5>&- 6>&- >"$RUN/report" 2>"$RUN/lab.log" &
   LAB=$!
