A lease's holder is one life of a host; a hold is at least 20 s

Cause: a late call that gives a lease up, sent by an earlier life of a host, could free the new life's lease; and a hold shorter than a call to a slow store ends service although nothing is lost. Before: the holder was the host's name; any hold was accepted. After: host and incarnation; hold is forever or at least 20 s, tested with its place. Conclusion: a restarted host waits for its own old lease like any other, as it stays silent for that long anyway.

--- a/internal/bench/act.go
+++ b/internal/bench/act.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"citrontray.example/citrontray/internal/place"
@@ -95,7 +96,9 @@
 func (r *Run) chooseLead() error {
 	first := r.target(0)
 	lease := fmt.Sprintf("lease/%s/%s", first.Service(), first.Zone())
-	r.led = place.Host(r.platform.LastHolder(lease))
+	// The holder is the host and its life, HOST/LIFE.
+	host, _, _ := strings.Cut(r.platform.LastHolder(lease), "/")
+	r.led = place.Host(host)
 	if r.led == "" {
 		return fmt.Errorf("bench: nobody holds %s", lease)
 	}
--- a/internal/lead/call.go
+++ b/internal/lead/call.go
@@ -5,6 +5,8 @@
 	"errors"
 	"log/slog"
 	"net/netip"
+	"strconv"
+	"strings"
 	"time"
 
 	"citrontray.example/citrontray/internal/cell"
@@ -23,6 +25,21 @@
 	return "lease/" + string(id.Service) + "/" + string(id.Zone)
 }
 
+// holderSeparator stands between the host and the life of a lease's holder.
+const holderSeparator = "/"
+
+// holder names this life of this host as the holder of a lease. A late call of
+// an earlier life, such as one that gives the lease up, then does nothing.
+func (d *Daemon) holder() string {
+	return string(d.cfg.Host) + holderSeparator + strconv.FormatUint(uint64(d.cfg.Incarnation), 36)
+}
+
+// hostOf returns the host of a lease's holder.
+func hostOf(holder string) place.Host {
+	host, _, _ := strings.Cut(holder, holderSeparator)
+	return place.Host(host)
+}
+
 // readCall reads the cell's document from the store.
 type readCall struct{ *runner }
 
@@ -92,12 +109,12 @@
 func (c leaseCall) run(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	lease, err := c.daemon.store.Acquire(call, leaseName(c.id), string(c.daemon.cfg.Host), c.effect.TTL)
+	lease, err := c.daemon.store.Acquire(call, leaseName(c.id), c.daemon.holder(), c.effect.TTL)
 	c.send(ctx, cell.LeaseDone{
 		SentAt:  c.sentAt,
 		Reached: err == nil,
 		Held:    err == nil && lease.Held,
-		Holder:  place.Host(lease.Holder),
+		Holder:  hostOf(lease.Holder),
 	})
 }
 
@@ -107,7 +124,7 @@
 func (c releaseCall) run(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if err := c.daemon.store.Release(call, leaseName(c.id), string(c.daemon.cfg.Host)); err != nil {
+	if err := c.daemon.store.Release(call, leaseName(c.id), c.daemon.holder()); err != nil {
 		c.log.Info("Lease not given up, it will lapse.", slog.Any("error", err))
 	}
 }
--- a/internal/settings/parse_test.go
+++ b/internal/settings/parse_test.go
@@ -50,6 +50,7 @@
 		"out of team":    {"teams/a/delegations/d: {below: [teams/b], credential: 'sha256:" + strings.Repeat("0", 64) + "'}", []string{"reaches out of the team's own paths"}},
 		"name":           {"teams/A/services/s: {zones: [z]}", []string{"has a name that is not allowed"}},
 		"delete nothing": {"teams/a/services/s: null", []string{"teams/a/services/s at 1:1: does not exist"}},
+		"short hold":     {"teams/a/services/s: {zones: [z], hold: 5s}", []string{"hold at 1:34: is neither forever nor at least 20s"}},
 		"deep":           {strings.Repeat("[", 100), []string{"nests brackets deeper"}},
 	}
 	for name, c := range cases {
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/netip"
 	"strings"
 	"time"
@@ -23,7 +24,10 @@
 	minTimeout     = 10 * time.Millisecond
 	maxTimeout     = 10 * time.Minute
 	maxHold        = 30 * 24 * time.Hour
-	maxWarmUp      = time.Hour
+	// minHold is longer than a call to a slow store: a lead renews its lease
+	// by such calls, and a shorter hold would end service in a slow spell.
+	minHold   = 20 * time.Second
+	maxWarmUp = time.Hour
 )
 
 // kinds lists all settings, in the order of the reference page.
@@ -49,7 +53,7 @@
 			{"slots", formCount, "concurrent requests that one target takes", "3", false, count(func(r *row) *int { return &r.Slots }, 1, maxSlots)},
 			{"connections", formCount, "connections that one target takes of all entry hosts together", "110", false, count(func(r *row) *int { return &r.Connections }, 1, maxConnections)},
 			{"terms", formSwitch, "whether the targets refuse orders of an older lead", "true", false, toggle(func(r *row) *bool { return &r.ChecksTerms })},
-			{"hold", formDuration, "how long a zone serves on without the store; forever keeps serving and waits for the operator where a zone is lost", forever, false, span(func(r *row) *time.Duration { return &r.Hold }, 0, maxHold)},
+			{"hold", formDuration, "how long a zone serves on without the store; forever keeps serving and waits for the operator where a zone is lost", forever, false, hold()},
 			{"moves", formCount, "planned moves of shards a minute at most, per zone", "60", false, count(func(r *row) *int { return &r.MovesPerMinute }, 0, maxMoves)},
 			{"imbalance", formPercent, "load of the busiest target above the mean that is left alone", "20", false, count(func(r *row) *int { return &r.ImbalancePercent }, 1, maxPercent)},
 			{"warm", formDuration, "length of a new target's ramp", "10s", false, span(func(r *row) *time.Duration { return &r.WarmUp }, time.Millisecond, maxWarmUp)},
@@ -171,3 +175,19 @@
 	}
 	return false
 }
+
+// hold reads how long a zone serves on without the store.
+func hold() access[Service] {
+	a := span(func(r *Service) *time.Duration { return &r.Hold }, 0, maxHold)
+	read := a.read
+	a.read = func(row *Service, values []string) error {
+		if err := read(row, values); err != nil {
+			return err
+		}
+		if row.Hold != 0 && row.Hold < minHold {
+			return fmt.Errorf("is neither %s nor at least %v; a store that is only slow would end service", forever, minHold)
+		}
+		return nil
+	}
+	return a
+}
