The entry takes its flags and its run from internal/program

Cause: two copies of the daemons' start. After: one package; both daemons' help, findings and exit codes come from it.

--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -8,25 +8,21 @@
 	"log/slog"
 	"net"
 	"net/netip"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"citrontray.example/citrontray/internal/admin"
-	"citrontray.example/citrontray/internal/journal"
 	"citrontray.example/citrontray/internal/keys"
 	"citrontray.example/citrontray/internal/metric"
 	"citrontray.example/citrontray/internal/option"
 	"citrontray.example/citrontray/internal/peer"
-	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/program"
 	"citrontray.example/citrontray/internal/queue"
 	"citrontray.example/citrontray/internal/settings"
 	"citrontray.example/citrontray/internal/spread"
 	"citrontray.example/citrontray/internal/status"
 	"citrontray.example/citrontray/internal/table"
-	"citrontray.example/citrontray/internal/version"
 )
 
 // idlePatience is how long a stop waits for idle connections of callers.
@@ -34,101 +30,44 @@
 
 // Options is what the flags and environment variables of the program say.
 type Options struct {
-	Host        place.Host
-	Zone        place.Zone
-	Region      place.Region
-	Platform    []netip.AddrPort
-	Peer        netip.AddrPort
-	Peers       []netip.AddrPort
-	Lead        netip.AddrPort
-	HTTP        netip.AddrPort
-	Admin       netip.AddrPort
-	Keys        string
-	Hosts       int
-	QueueBound  int
-	Park        time.Duration
-	Parked      int
-	Memory      int64
-	Notice      time.Duration
-	StopTimeout time.Duration
-	LogJSON     bool
-	Verbose     bool
-	Version     bool
+	program.Options
+
+	Lead       netip.AddrPort
+	HTTP       netip.AddrPort
+	Hosts      int
+	QueueBound int
+	Park       time.Duration
+	Parked     int
+	Memory     int64
+	Notice     time.Duration
 }
 
-// Main runs the program and returns its exit code: 0 after a planned stop, 1
-// after a failure, 2 for bad input, where nothing was started.
+// Main runs the program and returns its exit code.
 func Main(args []string, out, errOut io.Writer) int {
-	opts, err := ReadOptions(args, out)
-	switch {
-	case errors.Is(err, option.ErrHelp):
-		return 0
-	case err != nil:
-		fmt.Fprintln(errOut, err)
-		return option.ExitUsage
-	case opts.Version:
-		fmt.Fprintln(out, "citrontray-entry", version.String())
-		return 0
-	}
-	level := slog.LevelInfo
-	if opts.Verbose {
-		level = slog.LevelDebug
-	}
-	log := journal.Part(journal.New(errOut, level, opts.LogJSON), "entry")
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	d, err := open(opts, log)
-	if err != nil {
-		fmt.Fprintln(errOut, err)
-		return option.ExitUsage
-	}
-	if err := d.Run(ctx); err != nil {
-		log.Error("Entry failed.", slog.Any("error", err))
-		return 1
-	}
-	log.Info("Entry stopped.")
-	return 0
+	return program.Main("citrontray-entry", "entry", &Options{}, args, out, errOut)
 }
 
-// ReadOptions parses the flags; it returns all findings together.
-func ReadOptions(args []string, out io.Writer) (Options, error) {
-	var o Options
-	var platformAddrs, peerAddr, peerAddrs, leadAddr, httpAddr, adminAddr string
+// Read implements program.Opener; it returns all findings together.
+func (o *Options) Read(args []string, out io.Writer) (program.Options, error) {
+	var leadAddr, httpAddr string
 	set := option.New("citrontray-entry", "takes callers' requests and forwards each to the one target that owns its key", out)
-	set.StringVar((*string)(&o.Host), "host", "", "name of this entry host")
-	set.StringVar((*string)(&o.Zone), "zone", "", "availability zone of this host")
-	set.StringVar((*string)(&o.Region), "region", "", "region of this host")
-	set.StringVar(&platformAddrs, "platform", "", "not used by this program; taken so that a host's programs can share their settings")
-	set.StringVar(&peerAddr, "peer-address", "", "UDP address that other hosts reach this process at, IP:PORT")
-	set.StringVar(&peerAddrs, "peers", "", "peer addresses of lead processes to start from, IP:PORT[,IP:PORT]")
+	flags := program.Declare(set, &o.Options, program.Defaults{Admin: "127.0.0.1:9702", StopTimeout: 15 * time.Second})
 	set.StringVar(&leadAddr, "lead", "", "peer address of this host's own lead process, IP:PORT")
 	set.StringVar(&httpAddr, "http-address", "", "address that callers reach this process at, IP:PORT")
-	set.StringVar(&adminAddr, "admin-address", "127.0.0.1:9702", "address of /live, /ready, /metrics and /status")
-	set.StringVar(&o.Keys, "keys", "", "directory with the authority's certificate and this host's key")
 	set.IntVar(&o.Hosts, "hosts", DefaultHosts, "number of entry hosts that share each target's connections")
 	set.IntVar(&o.QueueBound, "queue", queue.DefaultConfig().Bound, "longest queue of one target, in requests")
 	set.DurationVar(&o.Park, "park", DefaultPark, "longest wait of a request whose key has no owner")
 	set.IntVar(&o.Parked, "parked", DefaultParked, "most requests that wait for an owner at once")
 	set.Int64Var(&o.Memory, "body-memory", DefaultMemory, "most bytes of request bodies held at once")
 	set.DurationVar(&o.Notice, "stop-notice", time.Second, "time between failing /ready and closing, for the balancer to notice")
-	set.DurationVar(&o.StopTimeout, "stop-timeout", 15*time.Second, "longest time of a planned stop")
-	set.BoolVar(&o.LogJSON, "log-json", false, "write logs as JSON")
-	set.BoolVar(&o.Verbose, "verbose", false, "log more")
-	set.BoolVar(&o.Version, "version", false, "print the version and end")
 	if err := set.Read(args); err != nil || o.Version {
-		return o, err
+		return o.Options, err
 	}
-	set.Required("host", string(o.Host))
-	set.Required("zone", string(o.Zone))
-	set.Required("keys", o.Keys)
-	o.Platform = set.Addresses("platform", platformAddrs)
-	o.Peer = set.Address("peer-address", peerAddr)
-	o.Peers = set.Addresses("peers", peerAddrs)
+	flags.Check()
 	o.Lead = set.Address("lead", leadAddr)
 	o.HTTP = set.Address("http-address", httpAddr)
-	o.Admin = set.Address("admin-address", adminAddr)
 	o.check(set)
-	return o, set.Findings.Err()
+	return o.Options, set.Findings.Err()
 }
 
 // check finds the bounds that cannot be met.
@@ -146,7 +85,7 @@
 
 // daemon is the process: the data path and what feeds it.
 type daemon struct {
-	opts     Options
+	opts     *Options
 	log      *slog.Logger
 	link     *peer.Peer
 	metrics  *metric.Registry
@@ -157,8 +96,8 @@
 	server   *Server
 }
 
-// open binds all sockets and reads the keys.
-func open(o Options, log *slog.Logger) (*daemon, error) {
+// Open implements program.Opener: it reads the keys and binds all sockets.
+func (o *Options) Open(log *slog.Logger) (program.Daemon, error) {
 	material, err := keys.Load(time.Now(), o.Keys, o.Host, peer.RoleEntry)
 	if err != nil {
 		return nil, fmt.Errorf("--keys: %w (make them with: citrontray keys host)", err)
@@ -232,7 +171,7 @@
 
 // runServer serves callers.
 func (d *daemon) runServer() error {
-	d.log.Info("Entry started.", slog.String("host", string(d.opts.Host)), slog.String("http", d.listener.Addr().String()))
+	d.log.Info("Callers are served.", slog.String("http", d.listener.Addr().String()))
 	return d.server.Run()
 }
 
