Addresses and times of codecs, and reads below a path, once each

Before: four functions twice in cell and table, nine lines twice in get and history. After: internal/wire and readAt. Conclusion: same bytes on the wire; history takes a path that ends in a slash, as get did.

--- a/internal/cell/codec.go
+++ b/internal/cell/codec.go
@@ -7,6 +7,7 @@
 	"citrontray.example/citrontray/internal/grant"
 	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/platform"
+	"citrontray.example/citrontray/internal/wire"
 )
 
 // maxElements bounds each list of a decoded document or message.
@@ -96,7 +97,7 @@
 	switch m := m.(type) {
 	case Heartbeat:
 		w := wireMessage{
-			Kind: wireHeartbeat, Term: uint64(m.Term), SentAt: timeToWire(m.SentAt),
+			Kind: wireHeartbeat, Term: uint64(m.Term), SentAt: wire.Nanos(m.SentAt),
 			Flag: m.Deputy, Revision: uint64(m.Revision),
 		}
 		if m.Doc != nil {
@@ -106,7 +107,7 @@
 		return w
 	case Promise:
 		return wireMessage{
-			Kind: wirePromise, Term: uint64(m.Term), SentAt: timeToWire(m.SentAt),
+			Kind: wirePromise, Term: uint64(m.Term), SentAt: wire.Nanos(m.SentAt),
 			Flag: m.ReadStore, Incarnation: uint64(m.Incarnation),
 			Revision: uint64(m.Revision),
 		}
@@ -124,7 +125,7 @@
 		return heartbeatFromWire(w)
 	case wirePromise:
 		return Promise{
-			Term: grant.Term(w.Term), SentAt: timeFromWire(w.SentAt),
+			Term: grant.Term(w.Term), SentAt: wire.Time(w.SentAt),
 			Incarnation: place.Incarnation(w.Incarnation), ReadStore: w.Flag,
 			Revision: platform.Revision(w.Revision),
 		}, nil
@@ -138,7 +139,7 @@
 
 func heartbeatFromWire(w wireMessage) (Message, error) {
 	m := Heartbeat{
-		Term: grant.Term(w.Term), SentAt: timeFromWire(w.SentAt), Deputy: w.Flag,
+		Term: grant.Term(w.Term), SentAt: wire.Time(w.SentAt), Deputy: w.Flag,
 		Revision: platform.Revision(w.Revision),
 	}
 	if w.Doc == nil {
--- a/internal/cell/wire.go
+++ b/internal/cell/wire.go
@@ -1,13 +1,11 @@
 package cell
 
 import (
-	"net/netip"
-	"time"
-
 	"citrontray.example/citrontray/internal/grant"
 	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/platform"
+	"citrontray.example/citrontray/internal/wire"
 )
 
 type wireDoc struct {
@@ -103,7 +101,7 @@
 		Zone:        string(d.ID.Zone),
 		Term:        uint64(d.Term),
 		Lead:        string(d.Lead),
-		LeadAddr:    addrText(d.LeadAddr),
+		LeadAddr:    wire.AddrText(d.LeadAddr),
 		Incarnation: uint64(d.LeadIncarnation),
 		WriteID:     d.WriteID,
 		NextSolo:    uint32(d.NextSolo),
@@ -146,7 +144,7 @@
 		ID:              ID{Service: key.Service(w.Service), Zone: place.Zone(w.Zone)},
 		Term:            grant.Term(w.Term),
 		Lead:            place.Host(w.Lead),
-		LeadAddr:        addrOf(w.LeadAddr),
+		LeadAddr:        wire.Addr(w.LeadAddr),
 		LeadIncarnation: place.Incarnation(w.Incarnation),
 		WriteID:         w.WriteID,
 		NextSolo:        key.Shard(w.NextSolo),
@@ -186,28 +184,28 @@
 
 func targetToWire(t TargetDoc) wireTarget {
 	return wireTarget{
-		Target: string(t.Target), Addr: addrText(t.Addr), Leaving: t.Leaving,
-		Since: timeToWire(t.Since), Incarnation: uint64(t.Incarnation),
+		Target: string(t.Target), Addr: wire.AddrText(t.Addr), Leaving: t.Leaving,
+		Since: wire.Nanos(t.Since), Incarnation: uint64(t.Incarnation),
 	}
 }
 
 func targetFromWire(w wireTarget) TargetDoc {
 	return TargetDoc{
-		Target: place.Target(w.Target), Addr: addrOf(w.Addr), Leaving: w.Leaving,
-		Since: timeFromWire(w.Since), Incarnation: place.Incarnation(w.Incarnation),
+		Target: place.Target(w.Target), Addr: wire.Addr(w.Addr), Leaving: w.Leaving,
+		Since: wire.Time(w.Since), Incarnation: place.Incarnation(w.Incarnation),
 	}
 }
 
 func moveToWire(m Move) wireMove {
 	return wireMove{
-		At: timeToWire(m.At), Shard: uint32(m.Shard), Epoch: uint64(m.Epoch),
+		At: wire.Nanos(m.At), Shard: uint32(m.Shard), Epoch: uint64(m.Epoch),
 		From: string(m.From), To: string(m.To), Evidence: evidenceToWire(m.Evidence),
 	}
 }
 
 func moveFromWire(w wireMove) Move {
 	return Move{
-		At: timeFromWire(w.At), Shard: key.Shard(w.Shard), Epoch: grant.Epoch(w.Epoch),
+		At: wire.Time(w.At), Shard: key.Shard(w.Shard), Epoch: grant.Epoch(w.Epoch),
 		From: place.Target(w.From), To: place.Target(w.To), Evidence: evidenceFromWire(w.Evidence),
 	}
 }
@@ -217,7 +215,7 @@
 	case grant.Released:
 		return wireEvidence{Kind: wireReleased, First: uint64(e.Epoch)}
 	case grant.Lapsed:
-		return wireEvidence{Kind: wireLapsed, First: uint64(timeToWire(e.Since))}
+		return wireEvidence{Kind: wireLapsed, First: uint64(wire.Nanos(e.Since))}
 	case grant.Restarted:
 		return wireEvidence{Kind: wireRestarted, First: uint64(e.Old), Second: uint64(e.New)}
 	case grant.Declared:
@@ -231,7 +229,7 @@
 	case wireReleased:
 		return grant.Released{Epoch: grant.Epoch(w.First)}
 	case wireLapsed:
-		return grant.Lapsed{Since: timeFromWire(int64(w.First))}
+		return grant.Lapsed{Since: wire.Time(int64(w.First))}
 	case wireRestarted:
 		return grant.Restarted{Old: place.Incarnation(w.First), New: place.Incarnation(w.Second)}
 	case wireDeclared:
@@ -239,35 +237,3 @@
 	}
 	return nil
 }
-
-// addrText returns the empty text for the zero address.
-func addrText(a netip.AddrPort) string {
-	if !a.IsValid() {
-		return ""
-	}
-	return a.String()
-}
-
-// addrOf returns the zero address for a text that is none.
-func addrOf(text string) netip.AddrPort {
-	a, err := netip.ParseAddrPort(text)
-	if err != nil {
-		return netip.AddrPort{}
-	}
-	return a
-}
-
-// timeToWire returns nanoseconds since 1970 in UTC; zero for the zero time.
-func timeToWire(t time.Time) int64 {
-	if t.IsZero() {
-		return 0
-	}
-	return t.UnixNano()
-}
-
-func timeFromWire(n int64) time.Time {
-	if n == 0 {
-		return time.Time{}
-	}
-	return time.Unix(0, n).UTC()
-}
--- a/internal/command/read.go
+++ b/internal/command/read.go
@@ -106,19 +106,25 @@
 			if err := want(args, 0, 1, c.usage); err != nil {
 				return err
 			}
-			view, err := c.read(ctx)
+			view, path, err := c.readAt(ctx, args)
 			if err != nil {
 				return err
 			}
-			var path settings.Path
-			if len(args) == 1 {
-				path = settings.Path(strings.TrimSuffix(args[0], "/"))
-			}
 			return c.printItems(view, path)
 		},
 	}
 }
 
+// readAt reads the settings in force and the path that args may hold.
+func (c *command) readAt(ctx context.Context, args []string) (operator.View, settings.Path, error) {
+	var path settings.Path
+	if len(args) == 1 {
+		path = settings.Path(strings.TrimSuffix(args[0], "/"))
+	}
+	view, err := c.read(ctx)
+	return view, path, err
+}
+
 // read reads the settings in force.
 func (c *command) read(ctx context.Context) (operator.View, error) {
 	desk, err := c.desk()
@@ -171,14 +177,10 @@
 			if err := want(args, 0, 1, c.usage); err != nil {
 				return err
 			}
-			view, err := c.read(ctx)
+			view, path, err := c.readAt(ctx, args)
 			if err != nil {
 				return err
 			}
-			var path settings.Path
-			if len(args) == 1 {
-				path = settings.Path(args[0])
-			}
 			return c.printHistory(view.History, path)
 		},
 	}
--- a/internal/table/codec.go
+++ b/internal/table/codec.go
@@ -1,15 +1,13 @@
 package table
 
 import (
-	"net/netip"
-	"time"
-
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
 
 	"citrontray.example/citrontray/internal/grant"
 	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/wire"
 )
 
 type wireTable struct {
@@ -47,7 +45,7 @@
 	w := wireTable{
 		Service: string(t.Service), Zone: string(t.Zone),
 		Term: uint64(t.Version.Term), Sequence: t.Version.Sequence,
-		Lead: string(t.Lead), LeadAddr: addrText(t.LeadAddr), Shards: uint32(t.Shards),
+		Lead: string(t.Lead), LeadAddr: wire.AddrText(t.LeadAddr), Shards: uint32(t.Shards),
 		Rows: make([]uint64, 0, rowNumbers*len(t.Rows)),
 	}
 	for _, target := range t.Targets {
@@ -78,7 +76,7 @@
 	t := Table{
 		Service: key.Service(w.Service), Zone: place.Zone(w.Zone),
 		Version: Version{Term: grant.Term(w.Term), Sequence: w.Sequence},
-		Lead:    place.Host(w.Lead), LeadAddr: addrOf(w.LeadAddr), Shards: key.ShardCount(w.Shards),
+		Lead:    place.Host(w.Lead), LeadAddr: wire.Addr(w.LeadAddr), Shards: key.ShardCount(w.Shards),
 	}
 	for _, target := range w.Targets {
 		t.Targets = append(t.Targets, targetFromWire(target))
@@ -103,32 +101,15 @@
 }
 
 func targetToWire(t Target) wireTarget {
-	w := wireTarget{Target: string(t.Target), Addr: addrText(t.Addr), Leaving: t.Leaving}
-	if !t.Since.IsZero() {
-		w.Since = t.Since.UnixNano()
+	return wireTarget{
+		Target: string(t.Target), Addr: wire.AddrText(t.Addr),
+		Leaving: t.Leaving, Since: wire.Nanos(t.Since),
 	}
-	return w
 }
 
 func targetFromWire(w wireTarget) Target {
-	t := Target{Target: place.Target(w.Target), Addr: addrOf(w.Addr), Leaving: w.Leaving}
-	if w.Since != 0 {
-		t.Since = time.Unix(0, w.Since).UTC()
-	}
-	return t
-}
-
-func addrText(a netip.AddrPort) string {
-	if !a.IsValid() {
-		return ""
-	}
-	return a.String()
-}
-
-func addrOf(text string) netip.AddrPort {
-	a, err := netip.ParseAddrPort(text)
-	if err != nil {
-		return netip.AddrPort{}
+	return Target{
+		Target: place.Target(w.Target), Addr: wire.Addr(w.Addr),
+		Leaving: w.Leaving, Since: wire.Time(w.Since),
 	}
-	return a
 }
