Say once that the platform's service does not answer

Cause: a lead started against a service that is not there told nobody; it has to start, as it takes settings from its peers. Before: debug lines only. After: one warning that names the flag, and a line when the service answers again; seen by running it.

--- a/internal/spread/watcher.go
+++ b/internal/spread/watcher.go
@@ -23,7 +23,9 @@
 	watchTimeout   = 40 * time.Second
 	readTimeout    = 10 * time.Second
 	firstStoreWait = 100 * time.Millisecond
-	maxStoreWait   = 2 * time.Second
+	// silenceNoted is how many reads in a row fail before it is logged.
+	silenceNoted = 3
+	maxStoreWait = 2 * time.Second
 )
 
 // Watcher reads the platform's service and publishes what it finds. While the
@@ -139,17 +141,28 @@
 	failures := 0
 	for ctx.Err() == nil {
 		if err := w.readFleet(ctx); err != nil {
-			w.log.Debug("Fleet list not read.", slog.Any("error", err))
+			w.noteSilence(failures, err)
 			sleep(ctx, storeWait(failures))
 			failures++
 			continue
 		}
+		if failures >= silenceNoted {
+			w.log.Info("Platform's service answers again.")
+		}
 		failures = 0
 		sleep(ctx, fleetInterval/2+rand.N(fleetInterval))
 	}
 	return nil
 }
 
+// noteSilence logs that the store does not answer, once for each silence.
+func (w *Watcher) noteSilence(failures int, err error) {
+	if failures+1 == silenceNoted {
+		w.log.Warn("Platform's service does not answer; this host goes on with what it and its peers have. Check --platform if it never did.",
+			slog.Any("error", err))
+	}
+}
+
 func (w *Watcher) readFleet(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
