Name an unavailable store once in an error

Cause: the committer wrapped an error that said so already. Before: 'platform: store unavailable: platform: store unavailable: …'. After: once, seen with citrontray get. Conclusion: text only.

--- a/internal/settings/commit.go
+++ b/internal/settings/commit.go
@@ -124,6 +124,9 @@
 	case errors.Is(err, platform.ErrNotFound):
 		return &Settings{}, nil
 	case err != nil:
+		if errors.Is(err, platform.ErrUnavailable) {
+			return nil, err
+		}
 		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
 	}
 	return decodeEntry(entry)
