Under overload, refuse by the pace that was seen, and ask less often for a slot

Cause: with nine entry hosts on three slots each host counted its own slots as its pace, so requests were let into queues that could not serve them in time and waited until their deadline; and a refused host asked again every 2 ms.

--- a/internal/entry/lane.go
+++ b/internal/entry/lane.go
@@ -24,8 +24,11 @@
 	// that took no connection.
 	downFirst = 20 * time.Millisecond
 	downMost  = time.Second
-	// busyPause is the pause of a lane after a refusal for want of a slot.
-	busyPause = 2 * time.Millisecond
+	// busyPause is the first pause of a lane after a refusal for want of a
+	// slot. Each refusal in a row doubles it, up to busyDoublings times and to
+	// half of the target's service time: a slot frees no sooner.
+	busyPause     = 2 * time.Millisecond
+	busyDoublings = 5
 	// contention is how long after the last wait for a slot requests go to the
 	// target's home.
 	contention = 100 * time.Millisecond
@@ -62,6 +65,9 @@
 	bulk        int
 	interactive time.Time
 	serving     serviceTime
+	served      backlogPace
+	// busy counts the refusals in a row for want of a slot.
+	busy int
 	// looks are the look-ups that run, with what breaks each off.
 	looks map[*work]context.CancelFunc
 	meter *meter
@@ -190,9 +196,11 @@
 	return outcome.NotRunFailure{Reason: outcome.Overload, RetryAfter: max(wait, time.Second)}
 }
 
-// pace returns the mean time between two requests served.
+// pace returns the mean time between two requests served. Other entry hosts use
+// the target's slots as well, so while requests wait it is what was seen.
 func (l *lane) pace() time.Duration {
-	return l.serving.mean / time.Duration(max(int(l.limiter.limit), 1))
+	alone := l.serving.mean / time.Duration(max(int(l.limiter.limit), 1))
+	return max(alone, l.served.between())
 }
 
 func (l *lane) mayStart(now time.Time) bool {
@@ -279,7 +287,7 @@
 	switch r := r.(type) {
 	case forward.Answered:
 		l.meter.ended(now, took, false)
-		l.succeed(took)
+		l.succeed(now, took)
 	case forward.Refused:
 		l.down = 0
 		if r.Refusal == refusalBusy {
@@ -293,8 +301,9 @@
 	l.start(now)
 }
 
-func (l *lane) succeed(took time.Duration) {
-	l.down = 0
+func (l *lane) succeed(now time.Time, took time.Duration) {
+	l.down, l.busy = 0, 0
+	l.served.add(now, l.queue.Len() > 0)
 	l.limiter.raise()
 	l.serving.add(took)
 }
@@ -305,7 +314,9 @@
 	if l.entry.cfg.Sharing == ShareAdaptive {
 		l.limiter.lower()
 	}
-	l.pause(now, busyPause)
+	most := max(l.serving.mean/2, busyPause)
+	l.pause(now, min(busyPause<<min(l.busy, busyDoublings), most))
+	l.busy++
 }
 
 // fail backs off from a target that takes no connection: one request tries
--- a/internal/entry/limit.go
+++ b/internal/entry/limit.go
@@ -85,6 +85,28 @@
 // most returns the time within which most requests are served.
 func (s *serviceTime) most() time.Duration { return s.mean + mostDeviations*s.deviation }
 
+// backlogPace estimates the time between two requests served while more wait.
+type backlogPace struct {
+	last time.Time // zero where nothing waited
+	mean time.Duration
+}
+
+// add counts a request served at now; waiting tells whether more wait.
+func (p *backlogPace) add(now time.Time, waiting bool) {
+	if !p.last.IsZero() {
+		p.mean += time.Duration(meanWeight * float64(now.Sub(p.last)-p.mean))
+	}
+	p.last = time.Time{}
+	if waiting {
+		p.last = now
+		return
+	}
+	p.mean = 0
+}
+
+// between returns the estimate, zero where nothing waits.
+func (p *backlogPace) between() time.Duration { return p.mean }
+
 // callerLimit is one settings.Limit at this entry host.
 type callerLimit struct {
 	rate       *rate.Limiter
