Look over the lanes every 20 ms in place of 5

Conclusion: a deadline that passes in a queue is answered up to 20 ms after it; timers for each lane would need no rounds at all.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,7 +61,7 @@
 	DefaultPark   = 5 * time.Second
 	DefaultParked = 4096
 	DefaultMemory = 256 << 20
-	DefaultTick   = 5 * time.Millisecond
+	DefaultTick   = 20 * time.Millisecond
 )
 
 // Entry is an http.Handler for callers. Run keeps it going.
