What a second reading found: I/O before a pure check, twins, dead fields

Cause: read through as a whole. A service without targets made every lead process ask the store for its custody twice a second, before the layout showed that there was nothing to write; a cell's document was read and decoded in two places, its runner looked up under the lock in four; the evicted document's write id was set by the core and overwritten by the shell; LeaseDone.Holder, Config.Region and the daemon's metrics were carried and read by nobody. Conclusion: behaviour stays, but for the calls to the store that had no use.

--- a/internal/cell/event.go
+++ b/internal/cell/event.go
@@ -48,7 +48,6 @@
 	SentAt  time.Time
 	Reached bool
 	Held    bool
-	Holder  place.Host
 }
 
 // OrderDone reports the outcome of a SendOrder effect.
--- a/internal/cell/network_test.go
+++ b/internal/cell/network_test.go
@@ -159,16 +159,15 @@
 	life := h.life
 	sent := h.at(w.now)
 	var held bool
-	var holder place.Host
 	w.store(h, func() {
 		now := w.storeClock.at(w.now)
 		me := place.Host(h.name)
 		if w.holder == me || !now.Before(w.holdUntil) {
 			w.holder, w.holdUntil = me, now.Add(DefaultTiming().Lease)
 		}
-		held, holder = w.holder == me, w.holder
+		held = w.holder == me
 	}, func() {
-		w.handle(h, life, LeaseDone{SentAt: sent, Reached: true, Held: held, Holder: holder})
+		w.handle(h, life, LeaseDone{SentAt: sent, Reached: true, Held: held})
 	}, func(bool) {
 		w.handle(h, life, LeaseDone{SentAt: sent})
 	})
--- a/internal/lead/call.go
+++ b/internal/lead/call.go
@@ -3,15 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net/netip"
 	"strconv"
-	"strings"
 	"time"
 
 	"citrontray.example/citrontray/internal/cell"
 	"citrontray.example/citrontray/internal/peer"
-	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/platform"
 )
 
@@ -25,41 +24,45 @@
 	return "lease/" + string(id.Service) + "/" + string(id.Zone)
 }
 
-// holderSeparator stands between the host and the life of a lease's holder.
-const holderSeparator = "/"
-
 // holder names this life of this host as the holder of a lease. A late call of
 // an earlier life, such as one that gives the lease up, then does nothing.
 func (d *Daemon) holder() string {
-	return string(d.cfg.Host) + holderSeparator + strconv.FormatUint(uint64(d.cfg.Incarnation), 36)
-}
-
-// hostOf returns the host of a lease's holder.
-func hostOf(holder string) place.Host {
-	host, _, _ := strings.Cut(holder, holderSeparator)
-	return place.Host(host)
+	return string(d.cfg.Host) + "/" + strconv.FormatUint(uint64(d.cfg.Incarnation), 36)
 }
 
 // readCall reads the cell's document from the store.
 type readCall struct{ *runner }
 
 func (c readCall) run(ctx context.Context) {
-	call, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	entry, err := c.daemon.store.Get(call, docPath(c.id))
-	if errors.Is(err, platform.ErrNotFound) {
+	doc, revision, err := c.daemon.readDoc(ctx, c.id)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
 		c.send(ctx, cell.DocSeen{FromStore: true})
-		return
+	case errors.Is(err, errUnreadable):
+		c.log.Error("Document not readable.", slog.Any("error", err))
+	case err == nil:
+		c.send(ctx, cell.DocSeen{Exists: true, FromStore: true, Doc: doc, Revision: revision})
 	}
+}
+
+// errUnreadable is returned for a document that the store has and that can't
+// be decoded.
+var errUnreadable = errors.New("lead: document not readable")
+
+// readDoc reads the document of a cell from the store. Errors: those of
+// platform.Store.Get, errUnreadable.
+func (d *Daemon) readDoc(ctx context.Context, id cell.ID) (cell.Doc, platform.Revision, error) {
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	entry, err := d.store.Get(call, docPath(id))
 	if err != nil {
-		return
+		return cell.Doc{}, 0, err
 	}
 	doc, err := cell.DecodeDoc(entry.Value)
 	if err != nil {
-		c.log.Error("Document not readable.", slog.Any("error", err))
-		return
+		return cell.Doc{}, 0, fmt.Errorf("%w: %w", errUnreadable, err)
 	}
-	c.send(ctx, cell.DocSeen{Exists: true, FromStore: true, Doc: doc, Revision: entry.Revision})
+	return doc, entry.Revision, nil
 }
 
 // writeCall writes the cell's document by compare-and-swap.
@@ -114,7 +117,6 @@
 		SentAt:  c.sentAt,
 		Reached: err == nil,
 		Held:    err == nil && lease.Held,
-		Holder:  hostOf(lease.Holder),
 	})
 }
 
--- a/internal/lead/daemon.go
+++ b/internal/lead/daemon.go
@@ -15,7 +15,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"citrontray.example/citrontray/internal/cell"
-	"citrontray.example/citrontray/internal/metric"
 	"citrontray.example/citrontray/internal/peer"
 	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/platform"
@@ -28,7 +27,6 @@
 type Config struct {
 	Host        place.Host
 	Zone        place.Zone
-	Region      place.Region
 	PeerAddr    netip.AddrPort
 	Incarnation place.Incarnation
 	Timing      cell.Timing
@@ -43,7 +41,6 @@
 	Board   spread.Board
 	Control target.Control
 	Log     *slog.Logger
-	Metrics *metric.Registry
 }
 
 // Daemon is a lead process.
@@ -54,7 +51,6 @@
 	board   spread.Board
 	control target.Control
 	log     *slog.Logger
-	metrics *metric.Registry
 	started time.Time
 	library *library
 
@@ -71,7 +67,6 @@
 		board:   parts.Board,
 		control: parts.Control,
 		log:     parts.Log,
-		metrics: parts.Metrics,
 		started: time.Now(),
 		library: newLibrary(parts.Board, parts.Log),
 		runners: make(map[cell.ID]*runner),
@@ -128,10 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d.mu.Lock()
-	r := d.runners[e.id]
-	d.mu.Unlock()
-	if r != nil {
+	if r := d.runner(e.id); r != nil {
 		r.send(ctx, cell.PeerReceived{From: from.Host, Message: e.message})
 	}
 	return nil, nil
@@ -142,6 +134,13 @@
 	return []byte(d.cfg.Host), nil
 }
 
+// runner returns the runner of a cell, or nil.
+func (d *Daemon) runner(id cell.ID) *runner {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.runners[id]
+}
+
 // all returns the runners of all cells.
 func (d *Daemon) all() []*runner {
 	d.mu.Lock()
--- a/internal/lead/evict.go
+++ b/internal/lead/evict.go
@@ -6,8 +6,6 @@
 	"log/slog"
 	"time"
 
-	"github.com/google/uuid"
-
 	"citrontray.example/citrontray/internal/cell"
 	"citrontray.example/citrontray/internal/custody"
 	"citrontray.example/citrontray/internal/grant"
@@ -97,23 +95,16 @@
 
 // readCell reads the document of another zone's cell; it may not exist.
 func (k *keeper) readCell(ctx context.Context, id cell.ID) (cell.Doc, platform.Revision, error) {
-	call, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	entry, err := k.store.Get(call, docPath(id))
+	doc, revision, err := k.readDoc(ctx, id)
 	if errors.Is(err, platform.ErrNotFound) {
 		return cell.Doc{ID: id}, 0, nil
 	}
-	if err != nil {
-		return cell.Doc{}, 0, err
-	}
-	doc, err := cell.DecodeDoc(entry.Value)
-	return doc, entry.Revision, err
+	return doc, revision, err
 }
 
 // writeCell writes the document of another zone's cell. A lost answer is
 // resolved by the next round, which reads the document first.
 func (k *keeper) writeCell(ctx context.Context, doc cell.Doc, expect platform.Revision) {
-	doc.WriteID = uuid.NewString()
 	body, err := cell.EncodeDoc(doc)
 	if err != nil {
 		k.log.Error("Document not encoded.", slog.Any("error", err))
--- a/internal/lead/keeper.go
+++ b/internal/lead/keeper.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
 
 	"citrontray.example/citrontray/internal/cell"
 	"citrontray.example/citrontray/internal/custody"
+	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/platform"
 	"citrontray.example/citrontray/internal/settings"
@@ -31,7 +33,7 @@
 // Every write is a compare-and-swap, so keepers on several hosts may race.
 type keeper struct {
 	*Daemon
-	steady   map[string]steadyShare
+	steady   map[key.Service]steadyShare
 	silences map[cell.ID]silence
 	// evicted is since when a cell's document shows that it gave up.
 	evicted map[cell.ID]time.Time
@@ -46,7 +48,7 @@
 func newKeeper(d *Daemon) *keeper {
 	return &keeper{
 		Daemon:   d,
-		steady:   make(map[string]steadyShare),
+		steady:   make(map[key.Service]steadyShare),
 		silences: make(map[cell.ID]silence),
 		evicted:  make(map[cell.ID]time.Time),
 	}
@@ -83,13 +85,14 @@
 
 // create writes the first layout of a service, once its targets are known.
 func (k *keeper) create(ctx context.Context, v *view, s settings.Service) {
+	doc := custody.First(s.Name, v.shards(s), v.weights(s))
+	if len(doc.Rows) == 0 {
+		return
+	}
 	if _, err := k.store.Get(ctx, custody.Path(s.Name)); !errors.Is(err, platform.ErrNotFound) {
 		return // it is there and on its way to the board, or the store is out
 	}
-	doc := custody.First(s.Name, v.shards(s), v.weights(s))
-	if len(doc.Rows) > 0 {
-		k.write(ctx, doc, 0)
-	}
+	k.write(ctx, doc, 0)
 }
 
 // next returns the document as it should be now, and whether it changed. Only
@@ -135,9 +138,7 @@
 
 // leading returns the state of a cell if this host leads it now.
 func (k *keeper) leading(id cell.ID) (cell.Status, bool) {
-	k.mu.Lock()
-	r := k.runners[id]
-	k.mu.Unlock()
+	r := k.runner(id)
 	if r == nil {
 		return cell.Status{}, false
 	}
@@ -147,9 +148,9 @@
 
 // isSteady reports whether the shares have stood long enough to act on.
 func (k *keeper) isSteady(now time.Time, s settings.Service, weights []custody.Weight) bool {
-	have, ok := k.steady[string(s.Name)]
-	if !ok || !equalWeights(have.weights, weights) {
-		k.steady[string(s.Name)] = steadyShare{weights: weights, since: now}
+	have, ok := k.steady[s.Name]
+	if !ok || !slices.Equal(have.weights, weights) {
+		k.steady[s.Name] = steadyShare{weights: weights, since: now}
 		return false
 	}
 	return now.Sub(have.since) >= steadyBefore
@@ -178,16 +179,3 @@
 		Body:    body,
 	})
 }
-
-// equalWeights reports whether two lists of shares are the same.
-func equalWeights(a, b []custody.Weight) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/lead/main.go
+++ b/internal/lead/main.go
@@ -149,12 +149,12 @@
 // daemon returns the part that leads.
 func (o *Options) daemon(p *process, board spread.Board, log *slog.Logger) *Daemon {
 	return New(Config{
-		Host: o.Host, Zone: o.Zone, Region: o.Region, PeerAddr: o.Peer,
+		Host: o.Host, Zone: o.Zone, PeerAddr: o.Peer,
 		Incarnation: place.Incarnation(rand.Uint64() | 1),
 		Timing:      o.Timing, StopTimeout: o.StopTimeout,
 	}, Parts{
 		Store: p.store, Link: p.link, Board: board, Control: target.NewControl(orderTimeout),
-		Log: log, Metrics: p.metrics,
+		Log: log,
 	})
 }
 
--- a/internal/lead/placer.go
+++ b/internal/lead/placer.go
@@ -52,9 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d.mu.Lock()
-	r := d.runners[cell.ID{Service: report.Service, Zone: report.Zone}]
-	d.mu.Unlock()
+	r := d.runner(cell.ID{Service: report.Service, Zone: report.Zone})
 	if r == nil {
 		return nil, nil
 	}
--- a/internal/lead/status.go
+++ b/internal/lead/status.go
@@ -174,9 +174,7 @@
 
 // shardMoves returns the newest moves of one shard of a cell of this zone.
 func (d *Daemon) shardMoves(id cell.ID, shard key.Shard) []status.Move {
-	d.mu.Lock()
-	r := d.runners[id]
-	d.mu.Unlock()
+	r := d.runner(id)
 	if r == nil {
 		return nil
 	}
--- a/internal/lead/view.go
+++ b/internal/lead/view.go
@@ -95,21 +95,20 @@
 	return slices.ContainsFunc(rows, func(r place.TargetRow) bool { return r.Target == name })
 }
 
-// drains returns the targets of a zone that operators drain.
-func (v *view) drains(zone place.Zone, targets []place.TargetRow) []place.Target {
+// drains returns those of the targets that operators drain.
+func (v *view) drains(targets []place.TargetRow) []place.Target {
 	var out []place.Target
 	for _, t := range targets {
-		if v.drained(t.Target, zone) {
+		if v.drained(t.Target) {
 			out = append(out, t.Target)
 		}
 	}
 	return out
 }
 
-// drained reports whether an operator drains the target or its zone. Within a
-// drained zone shards go to other zones through custody, target by target, so
-// only the targets named count here.
-func (v *view) drained(target place.Target, _ place.Zone) bool {
+// drained reports whether an operator drains the target by its name. Of a
+// drained zone the shards go to other zones through custody.
+func (v *view) drained(target place.Target) bool {
 	return slices.ContainsFunc(v.settings.Drains, func(d settings.Drain) bool {
 		return d.Target != "" && d.Target == target
 	})
@@ -175,7 +174,7 @@
 func (v *view) usable(s settings.Service, zone place.Zone) int {
 	n := 0
 	for _, t := range v.targets(s, zone) {
-		if t.State == place.Live && !v.drained(t.Target, zone) {
+		if t.State == place.Live && !v.drained(t.Target) {
 			n++
 		}
 	}
@@ -203,7 +202,7 @@
 	events := []cell.Event{
 		cell.ConfigSeen{Config: cfg},
 		cell.FleetSeen{Hosts: v.hosts(cfg.ID.Zone), Targets: targets},
-		cell.DrainSeen{Targets: v.drains(cfg.ID.Zone, targets)},
+		cell.DrainSeen{Targets: v.drains(targets)},
 		cell.LostSeen{Lost: v.losses()},
 	}
 	if doc, ok := v.custody[s.Name]; ok {
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -74,7 +74,7 @@
 	b := p.weigh(now, cfg, layout, loads)
 	var out []cell.PlannedMove
 	for p.wants(cfg, b) && len(out) < maxBatch && len(p.starts) < cfg.MovesPerMinute {
-		m, ok := p.next(cfg, b)
+		m, ok := p.next(b)
 		if !ok {
 			break
 		}
@@ -166,7 +166,7 @@
 }
 
 // next returns the move off the busiest target that brings most.
-func (p *Planner) next(cfg Config, b *balance) (move, bool) {
+func (p *Planner) next(b *balance) (move, bool) {
 	from, to := b.busiest(), b.coldest()
 	if from == to || from < 0 || to < 0 {
 		return move{}, false
