--- a/internal/dispatch/lane.go
+++ b/internal/dispatch/lane.go
@@ -78,6 +78,8 @@
 	served time.Time
 	// usable is false for targets that get no new work.
 	usable bool
+	// mark is that of the last asker that probably has a connection here.
+	mark uint64
 }
 
 func newLane(row place.TargetRow, now time.Time) *lane {
--- a/internal/dispatch/play_test.go
+++ b/internal/dispatch/play_test.go
@@ -6,9 +6,12 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/traffic"
 )
@@ -92,6 +95,34 @@
 	clients []*Client
 	waits   []map[TicketID]func(now time.Time, m Message)
 	results map[traffic.RouteName]*outcomeOfKind
+	// links are the connections of each client to each target, dials counts
+	// those that were opened.
+	links map[linkID]*link
+	dials int
+}
+
+// linkID names a client and a target.
+type linkID struct {
+	client int
+	target place.Target
+}
+
+// link is the connections between the two, which are kept.
+type link struct{ open, busy int }
+
+// connect uses a connection, and opens one where none is idle.
+func (p *player) connect(id linkID) *link {
+	l := p.links[id]
+	if l == nil {
+		l = &link{}
+		p.links[id] = l
+	}
+	l.busy++
+	if l.busy > l.open {
+		l.open++
+		p.dials++
+	}
+	return l
 }
 
 const playTravel = time.Millisecond // between any two processes
@@ -110,10 +141,13 @@
 	heap.Push(&p.events, playEvent{p.now.Add(d), do})
 }
 
-func play(l played) map[traffic.RouteName]*outcomeOfKind {
+func play(l played) map[traffic.RouteName]*outcomeOfKind { return newPlayer(l).play() }
+
+func newPlayer(l played) *player {
 	p := &player{
 		played: l, rng: rand.New(rand.NewPCG(l.seed, 1)), now: time.Unix(1000, 0),
 		targets: make(map[place.Target]*playTarget), results: make(map[traffic.RouteName]*outcomeOfKind),
+		links: make(map[linkID]*link),
 	}
 	for i, speed := range l.speeds {
 		name := place.Target(fmt.Sprintf("t%02d", i))
@@ -127,8 +161,12 @@
 		p.clients = append(p.clients, NewClient(p))
 		p.waits = append(p.waits, make(map[TicketID]func(time.Time, Message)))
 	}
-	end := p.now.Add(l.lasts)
-	for _, k := range l.kinds {
+	return p
+}
+
+func (p *player) play() map[traffic.RouteName]*outcomeOfKind {
+	end := p.now.Add(p.lasts)
+	for _, k := range p.kinds {
 		p.results[k.class] = &outcomeOfKind{}
 		p.arrive(k, end)
 	}
@@ -204,7 +242,9 @@
 func (p *player) run(now time.Time, i int, id TicketID, name place.Target, k kindOfWork, first time.Time, retries int, tried []place.Target) {
 	t := p.targets[name]
 	started := now
+	l := p.connect(linkID{i, name})
 	done := func(now time.Time, end End) {
+		l.busy--
 		p.clients[i].Done(now, id, end, now.Sub(started))
 		p.flush(i)
 	}
@@ -387,6 +427,32 @@
 	}
 }
 
+// TestConnections: hosts are sent to targets that they have a connection to, and
+// get no less for it.
+func TestConnections(t *testing.T) {
+	tests := map[string]struct {
+		perS  float64
+		worth float64
+		dials float64 // a request
+	}{
+		"a third of the slots": {320, 0.97, 0.12},
+		"three quarters":       {720, 0.97, 0.12},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newPlayer(played{
+				kinds: []kindOfWork{notices.at(test.perS)}, speeds: slices.Repeat([]float64{1}, 40), slots: 3, queue: 12,
+				hosts: 40, lasts: 20 * time.Second, seed: 7, pool: PoolID{Service: "s"},
+			})
+			o := p.play()["notice"]
+			dials := float64(p.dials) / float64(o.asked)
+			t.Logf("worth %.3f, %.3f dials a request", o.worth(), dials)
+			assert.Assert(t, o.worth() >= test.worth)
+			assert.Assert(t, dials <= test.dials)
+		})
+	}
+}
+
 // BenchmarkOverload plays a second of a pool with more work than it can do.
 func BenchmarkOverload(b *testing.B) {
 	for i := range b.N {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -76,6 +76,9 @@
 	// for.
 	pressure float64
 	cutoffs  *cutoffs
+	visits   visits
+	// marks counts the askers that lanes were marked for.
+	marks uint64
 }
 
 func newPool(id PoolID, learned map[traffic.RouteName]*classTime, cut *cutoffs) *pool {
@@ -85,6 +88,7 @@
 		cutoffs: cut,
 		lanes:   make(map[place.Target]*lane),
 		classes: make(map[traffic.RouteName]*classTime),
+		visits:  make(visits),
 	}
 }
 
@@ -229,6 +233,10 @@
 		best        *seat
 		lowest, end time.Duration
 	)
+	if len(r.seats) > 1 {
+		r.marks++
+		r.visits.free(r.now, w.key.host, r.marks)
+	}
 	for i := range r.seats {
 		at := &r.seats[i]
 		if len(w.Tried) > 0 && len(r.seats) > 1 && slices.Contains(w.Tried, at.Target) {
@@ -243,6 +251,9 @@
 		if at.Zone != w.zone {
 			score += time.Duration(otherZone * float64(w.mean))
 		}
+		if at.mark != r.marks {
+			score += time.Duration(newConnection * float64(w.mean))
+		}
 		if best == nil || score < lowest {
 			best, lowest, end = at, score, total
 		}
@@ -375,6 +386,9 @@
 		confirmed: now,
 	}
 	s.lane.running[t.key] = t
+	if len(p.order) > 1 {
+		p.visits.note(now, t.key.host, s.lane)
+	}
 	p.cutoffs.try(now, s.lane.Zone)
 	return t
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -106,9 +106,10 @@
 		registry: metric.New("citrontray_host"),
 	}
 	h.metrics = newMetrics(h.registry)
+	h.env.Store = &countedStore{SessionStore: env.Store, metrics: h.metrics}
 	h.setBounds(env.Site.Bounds)
 	h.viewer = newViewer(h.board, h.log, env.DecodeConfig)
-	h.registrar = newRegistrar(env.Store, h.log, h.member(), env.Site.Bounds.SessionMin)
+	h.registrar = newRegistrar(h.env.Store, h.log, h.member(), env.Site.Bounds.SessionMin)
 	if err := h.openSockets(); err != nil {
 		return nil, err
 	}
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -80,6 +80,16 @@
 	}).Inc(1)
 }
 
+// called counts a call to the store by its kind and result.
+func (m *metrics) called(kind string, err error) {
+	result := callResult(err)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	kept(m.counters, metricID{"calls", "", kind, result}, func() tally.Counter {
+		return m.registry.Tagged(map[string]string{"kind": kind, "result": result}).Counter("calls")
+	}).Inc(1)
+}
+
 // noted counts a decision of a lead by its text.
 func (m *metrics) noted(service key.Service, text string) {
 	m.mu.Lock()
--- a/internal/host/tasks.go
+++ b/internal/host/tasks.go
@@ -81,7 +81,7 @@
 	value, err := t.effect.Doc.Encode()
 	if err != nil {
 		t.log.Error("Document not written.", slog.Any("error", err))
-		t.post(func(time.Time) bool { t.core.NotWritten(t.effect); return true })
+		t.post(func(now time.Time) bool { t.core.NotWritten(now, t.effect); return true })
 		return
 	}
 	path := rangesPath(t.service)
@@ -104,6 +104,6 @@
 		t.core.Outrun(t.effect)
 	default:
 		t.log.Warn("Document not written.", slog.Any("error", err))
-		t.core.NotWritten(t.effect)
+		t.core.NotWritten(now, t.effect)
 	}
 }
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -167,6 +167,8 @@
 	load     *partition.Load
 	planned  time.Time
 	pending  *Doc
+	// refused is when the store last took no write.
+	refused time.Time
 	// stragglers is until when leads before this one may renew; it has passed
 	// where they have ended.
 	stragglers time.Time
--- a/internal/owner/core_test.go
+++ b/internal/owner/core_test.go
@@ -107,7 +107,7 @@
 	case WriteDoc:
 		if d.refuse {
 			d.refused++
-			d.NotWritten(e)
+			d.NotWritten(d.now, e)
 			return
 		}
 		d.revision++
@@ -136,6 +136,8 @@
 	d.refuse = true
 	d.run(2 * time.Second)
 	assert.Assert(t, d.refused > 0, "nothing had to be written")
+	// Reclaimed after 0.4 s, planned again after 2 s: each call is billed.
+	assert.Assert(t, d.refused <= 5, "%d writes to a store that takes none", d.refused)
 	last := d.tables[len(d.tables)-1]
 	for _, s := range last.Spans {
 		assert.Assert(t, s.Target != "", "%v has no owner", s.Range)
--- a/internal/owner/move.go
+++ b/internal/owner/move.go
@@ -307,10 +307,14 @@
 	}
 }
 
+// writeAgain is the pause after a write that the store did not take: each call
+// is billed, and the store is out for seconds.
+const writeAgain = 200 * time.Millisecond
+
 // write puts the new owners of free ranges into the store, all in one write.
 func (c *Core) write(now time.Time) {
 	cleared := c.marked && !now.Before(c.stragglers)
-	if c.pending != nil || !c.gathered(now) && !cleared {
+	if c.pending != nil || !c.gathered(now) && !cleared || now.Sub(c.refused) < writeAgain {
 		return
 	}
 	c.marked = c.marked && !cleared
@@ -376,11 +380,11 @@
 }
 
 // NotWritten tells that the document has certainly not been written.
-func (c *Core) NotWritten(e WriteDoc) {
+func (c *Core) NotWritten(now time.Time, e WriteDoc) {
 	if !c.leading || c.pending == nil || c.pending.Write != e.Doc.Write {
 		return
 	}
-	c.pending = nil
+	c.pending, c.refused = nil, now
 	for _, r := range c.rows {
 		if r.state == writing {
 			r.state = free
