A lead's document is written by one transaction, from two places

writeTask and resignation each put the same conditions and document together; docTxn serves both. countedStore no longer wraps Watch, which hosts never call. best asks idle instead of looking at its field.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -238,7 +238,7 @@
 		lowest, end time.Duration
 	)
 	// Where all slots are taken, whichever is free first counts.
-	connected := len(r.seats) > 1 && r.free > 0
+	connected := len(r.seats) > 1 && r.idle()
 	if connected {
 		r.marks++
 		r.visits.mark(r.now, w.key.host, r.marks)
--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -8,7 +8,8 @@
 	"citrontray.example/citrontray/internal/platform"
 )
 
-// countedStore counts the calls to the store: each has its price.
+// countedStore counts the calls to the store: each has its price. Hosts make no
+// other ones.
 type countedStore struct {
 	platform.SessionStore
 
@@ -27,12 +28,6 @@
 	return entries, revision, err
 }
 
-func (s *countedStore) Watch(ctx context.Context, prefix platform.Path, from platform.Revision, wait time.Duration) ([]platform.Change, platform.Revision, error) {
-	changes, revision, err := s.SessionStore.Watch(ctx, prefix, from, wait)
-	s.metrics.called("watch", err)
-	return changes, revision, err
-}
-
 func (s *countedStore) Commit(ctx context.Context, txn platform.Txn) (platform.Revision, error) {
 	revision, err := s.SessionStore.Commit(ctx, txn)
 	s.metrics.called("commit", err)
--- a/internal/host/resign.go
+++ b/internal/host/resign.go
@@ -70,12 +70,9 @@
 	if err != nil {
 		return err
 	}
-	leadPath, path := member.LeadPath(t.service), rangesPath(t.service)
-	_, err = commitSurely(ctx, t.log, t.host.env.Store, platform.Txn{
-		If:     []platform.Condition{{Path: leadPath, Revision: t.leadRevision}, {Path: path, Revision: t.expect}},
-		Put:    []platform.Put{{Path: path, Value: value}},
-		Remove: []platform.Path{leadPath},
-	}, path, t.doc.Write)
+	txn := docTxn(t.service, value, t.expect, t.leadRevision)
+	txn.Remove = []platform.Path{member.LeadPath(t.service)}
+	_, err = commitSurely(ctx, t.log, t.host.env.Store, txn, rangesPath(t.service), t.doc.Write)
 	return err
 }
 
--- a/internal/host/tasks.go
+++ b/internal/host/tasks.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/member"
 	"citrontray.example/citrontray/internal/owner"
 	"citrontray.example/citrontray/internal/platform"
@@ -84,17 +85,21 @@
 		t.post(func(now time.Time) bool { t.core.NotWritten(now, t.effect); return true })
 		return
 	}
-	path := rangesPath(t.service)
-	revision, err := commitSurely(ctx, t.log, t.host.env.Store, platform.Txn{
-		If: []platform.Condition{
-			{Path: member.LeadPath(t.service), Revision: t.leadRevision},
-			{Path: path, Revision: t.effect.Expect},
-		},
-		Put: []platform.Put{{Path: path, Value: value}},
-	}, path, t.effect.Doc.Write)
+	txn := docTxn(t.service, value, t.effect.Expect, t.leadRevision)
+	revision, err := commitSurely(ctx, t.log, t.host.env.Store, txn, rangesPath(t.service), t.effect.Doc.Write)
 	t.post(func(now time.Time) bool { t.ended(now, revision, err); return true })
 }
 
+// docTxn returns the transaction by which a lead writes its service's document:
+// if the lead's entry and the document are still at their revisions.
+func docTxn(service key.Service, value []byte, expect, leadRevision platform.Revision) platform.Txn {
+	path := rangesPath(service)
+	return platform.Txn{
+		If:  []platform.Condition{{Path: member.LeadPath(service), Revision: leadRevision}, {Path: path, Revision: expect}},
+		Put: []platform.Put{{Path: path, Value: value}},
+	}
+}
+
 func (t *writeTask) ended(now time.Time, revision platform.Revision, err error) {
 	switch {
 	case err == nil:
