A home forgets where it sent a host when the host's life ends

Cause: visits kept an entry for each host that ever asked, for as long as a keyless pool is used: memory grew with every new host name, and a host that started again counted as connected for 10 s. Mended in Home.lose, where its tickets and asks end too. Ruled out: the pool's own end, as a keyless pool in use never ends. TestVisitsEnd failed first, in both cases (1 entry, want 0); TestConnections passes as before.

--- a/internal/dispatch/home.go
+++ b/internal/dispatch/home.go
@@ -194,7 +194,8 @@
 	c.heard = now
 }
 
-// lose gives back all tickets of a host and drops its asks.
+// lose gives back all tickets of a host, drops its asks and forgets its
+// connections.
 func (h *Home) lose(now time.Time, c *caller) {
 	touched := make(map[*pool]bool)
 	for key, t := range h.tickets {
@@ -207,6 +208,9 @@
 			h.drop(key, p)
 		}
 	}
+	for _, p := range h.pools {
+		delete(p.visits, c.Host)
+	}
 	for p := range touched {
 		h.run(now, p)
 	}
--- a/internal/dispatch/play_test.go
+++ b/internal/dispatch/play_test.go
@@ -453,6 +453,28 @@
 	}
 }
 
+// TestVisitsEnd: what a home remembers of where it sent a host ends with the
+// host's life, as its connections do.
+func TestVisitsEnd(t *testing.T) {
+	tests := map[string]func(h *Home, now time.Time){
+		"started again": func(h *Home, now time.Time) {
+			h.Handle(now, Peer{Host: "a", Life: 2, Zone: "z"}, Report{})
+		},
+		"silent": func(h *Home, now time.Time) { h.Tick(now.Add(2 * lostAfter)) },
+	}
+	for name, end := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			p := newPlayer(played{speeds: []float64{1, 1}, slots: 3})
+			p.home.Handle(now, Peer{Host: "a", Life: 1, Zone: "z"}, Ask{ID: 1, Left: time.Second, Aim: time.Second})
+			visits := p.home.pool(now, PoolID{}).visits
+			assert.Equal(t, len(visits), 1)
+			end(p.home, now)
+			assert.Equal(t, len(visits), 0)
+		})
+	}
+}
+
 // BenchmarkOverload plays a second of a pool with more work than it can do.
 func BenchmarkOverload(b *testing.B) {
 	for i := range b.N {
