--- a/internal/host/campaign.go
+++ b/internal/host/campaign.go
@@ -22,18 +22,18 @@
 	incumbentStep = 700 * time.Millisecond
 	// victoryLag is how long the list of members may lack a new lead.
 	victoryLag = 2 * time.Second
+	// campaignAgain is about how long a host waits after a campaign that the
+	// store did not answer: each call is billed, and all candidates try.
+	campaignAgain = 900 * time.Millisecond
 	// campaignTimeout bounds the calls of one campaign.
 	campaignTimeout = 1200 * time.Millisecond
 )
 
 // campaignIfDue tries to become the lead where there is none.
 func (r *runner) campaignIfDue(ctx context.Context, now time.Time, v *view) {
-	if r.campaigning || r.host.stopping.Load() || !r.due(now, v) {
+	if r.campaigning || r.host.stopping.Load() || now.Before(r.pausedUntil) || !r.due(now, v) {
 		return
 	}
-	if s := r.host.registrar.current(); s.id == 0 || !now.Before(s.end) {
-		return // the store has not answered for long
-	}
 	r.campaigning, r.lookedAt = true, now
 	c := &campaign{runner: r, lease: r.newLease(), members: v.members}
 	r.work.Add(1)
@@ -48,7 +48,7 @@
 		// members does not have it yet.
 		return !ok && now.Sub(r.wonAt) > victoryLag && now.Sub(r.vacantSince) > campaignStep
 	}
-	place := slices.Index(member.RankLeads(string(rangesPath(r.service)), v.members.Hosts), r.host.site.Host)
+	place := slices.Index(v.candidates(r.service), r.host.site.Host)
 	if ok && !v.members.Ended(lead) {
 		// An entry of this host's own, of a term that it gave up, needs no
 		// waiting for. Of another's, the store knows sooner than the list that
@@ -100,7 +100,10 @@
 		}
 		if err != nil {
 			c.log.Info("Campaign for the lead failed.", slog.Any("error", err))
-			c.vacantSince = now.Add(rand.N(campaignStep))
+			c.pausedUntil = now.Add(rand.N(campaignStep))
+			if !errors.Is(err, errLost) {
+				c.pausedUntil = now.Add(campaignAgain/2 + rand.N(campaignAgain))
+			}
 			return false
 		}
 		c.leadRevision = won.revision
--- a/internal/host/desk.go
+++ b/internal/host/desk.go
@@ -35,8 +35,8 @@
 	// address returns where a host takes messages now.
 	address func(place.Host) (netip.AddrPort, bool)
 	catalog func() dispatch.Catalog
-	// report, notice and reading take the datagrams that are not tickets.
-	report, notice, reading func(body []byte)
+	// others take the datagrams that are not tickets, by their first byte.
+	others map[byte]func(body []byte)
 
 	// stirred gets a token when the next look is due sooner than planned.
 	stirred chan struct{}
@@ -143,21 +143,16 @@
 	datagramNotice byte = 'n'
 	// datagramReading is what a watcher has read.
 	datagramReading byte = 'w'
+	// datagramPresence is that a host is there.
+	datagramPresence byte = 'p'
 )
 
 func (d *desk) take(now time.Time, source netip.AddrPort, body []byte) {
 	if len(body) < 2 {
 		return
 	}
-	switch body[0] {
-	case datagramReport:
-		d.report(body[1:])
-		return
-	case datagramNotice:
-		d.notice(body[1:])
-		return
-	case datagramReading:
-		d.reading(body[1:])
+	if other := d.others[body[0]]; other != nil {
+		other(body[1:])
 		return
 	}
 	from, m, err := dispatch.Decode(body[1:])
--- a/internal/host/fixture_test.go
+++ b/internal/host/fixture_test.go
@@ -194,7 +194,7 @@
 		},
 	}
 	for _, h := range d.hosts {
-		s.Seeds = append(s.Seeds, h.site.Peer)
+		s.Seeds = append(s.Seeds, site.Seed{Peer: h.site.Peer, Ticket: h.site.Ticket})
 	}
 	credentials, err := keys.MakeUnchecked(time.Now(), peer.Identity{Host: s.Host, Zone: s.Zone, Role: peer.RoleLead})
 	assert.NilError(d.t, err)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -8,8 +8,10 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,6 +62,7 @@
 	log   *slog.Logger
 	life  place.Incarnation
 
+	store     *countedStore
 	board     *spread.Memory
 	link      *peer.Peer
 	node      *spread.Node
@@ -106,10 +109,11 @@
 		registry: metric.New("citrontray_host"),
 	}
 	h.metrics = newMetrics(h.registry)
-	h.env.Store = &countedStore{SessionStore: env.Store, metrics: h.metrics}
+	h.store = &countedStore{SessionStore: env.Store, metrics: h.metrics}
+	h.env.Store = h.store
 	h.setBounds(env.Site.Bounds)
 	h.viewer = newViewer(h.board, h.log, env.DecodeConfig)
-	h.registrar = newRegistrar(h.env.Store, h.log, h.member(), env.Site.Bounds.SessionMin)
+	h.registrar = newRegistrar(h)
 	if err := h.openSockets(); err != nil {
 		return nil, err
 	}
@@ -135,7 +139,10 @@
 	}
 	self := dispatch.Peer{Host: h.site.Host, Life: h.life, Zone: h.site.Zone}
 	h.desk = newDesk(self, conn, h.log, h)
-	h.desk.address, h.desk.report, h.desk.notice, h.desk.reading = h.ticketAddress, h.heardReport, h.heardNotice, h.heardReading
+	h.desk.address = h.ticketAddress
+	h.desk.others = map[byte]func([]byte){
+		datagramReport: h.heardReport, datagramNotice: h.heardNotice, datagramReading: h.heardReading, datagramPresence: h.heardPresence,
+	}
 	h.desk.catalog = func() dispatch.Catalog { return h.viewer.view() }
 	if h.front, err = net.Listen("tcp4", h.site.Front.String()); err != nil {
 		return fmt.Errorf("host: front address: %w", err)
@@ -153,9 +160,17 @@
 	h.watcher = &watcher{
 		store: h.env.Store, board: h.board, log: h.log, decodeTarget: h.env.DecodeTarget, tell: h.tellReading,
 	}
+	if !slices.ContainsFunc(h.site.Seeds, func(s site.Seed) bool { return s.Peer == h.site.Peer }) && len(h.site.Seeds) > 0 {
+		h.watcher.patience = seedsFirst + rand.N(seedsSpread)
+	}
+	var seeds []netip.AddrPort
+	for _, seed := range h.site.Seeds {
+		seeds = append(seeds, seed.Peer)
+	}
 	h.node = spread.NewNode(h.board, h.link, spread.Config{
-		Self: h.env.Keys.Self(), Addr: h.site.Peer, Seeds: h.site.Seeds, Watch: h.watcher.run, Log: h.log,
-		Hosts: func() []place.HostRow { return h.viewer.view().members.Rows() },
+		Self: h.env.Keys.Self(), Addr: h.site.Peer, Seeds: seeds, Watch: h.watcher.run, Log: h.log,
+		Processor: h.site.Processor,
+		Hosts:     func() []place.HostRow { return h.viewer.view().members.Rows() },
 	})
 	return nil
 }
@@ -219,6 +234,7 @@
 func (h *Host) loopViews(ctx context.Context) error {
 	changed := h.board.Subscribe("")
 	lives := make(map[place.Host]place.Incarnation)
+	lists := uint64(0)
 	const expiry = 250 * time.Millisecond
 	ticker := time.NewTicker(expiry)
 	defer ticker.Stop()
@@ -229,19 +245,14 @@
 			if h.admin != nil {
 				h.admin.SetReady(v.usable() && !h.stopping.Load())
 			}
-			hosts := len(v.members.Hosts)
-			h.retries.setHosts(now, hosts)
-			h.pools.setHosts(hosts)
+			h.retries.setHosts(now, len(v.members.Hosts))
 			if v.routes != nil {
 				h.splitter.Keep(v.routes.Config())
 			}
-			for _, m := range v.members.Hosts {
-				if lives[m.Name] != m.Life {
-					lives[m.Name] = m.Life
-					h.desk.started(m.Name)
-				}
+			if v.lists != lists {
+				lists = v.lists
+				h.takeLists(now, v, lives)
 			}
-			h.desk.refresh(now)
 		}
 		select {
 		case <-ctx.Done():
@@ -252,6 +263,19 @@
 	}
 }
 
+// takeLists puts newer lists of hosts and targets in force; lives are those of the
+// hosts so far.
+func (h *Host) takeLists(now time.Time, v *view, lives map[place.Host]place.Incarnation) {
+	h.pools.setHosts(len(v.members.Hosts))
+	for _, m := range v.members.Hosts {
+		if lives[m.Name] != m.Life {
+			lives[m.Name] = m.Life
+			h.desk.started(m.Name)
+		}
+	}
+	h.desk.refresh(now)
+}
+
 // loopSweep closes what is no longer used.
 func (h *Host) loopSweep(ctx context.Context) error {
 	ticker := time.NewTicker(time.Second)
--- a/internal/host/keeper.go
+++ b/internal/host/keeper.go
@@ -11,6 +11,9 @@
 	"citrontray.example/citrontray/internal/platform"
 )
 
+// keepTimeout bounds one renewal.
+const keepTimeout = 600 * time.Millisecond
+
 // session is a session in the store at one moment.
 type session struct {
 	id platform.SessionID
@@ -30,14 +33,6 @@
 	mu      sync.Mutex
 	session session
 	failing bool
-	// answered is when the store last answered, by the time of day.
-	answered time.Time
-}
-
-func (k *keeper) answeredAt() time.Time {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.answered
 }
 
 // current returns the session; it has lapsed where now is past its end.
@@ -51,7 +46,7 @@
 func (k *keeper) set(s session) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.session, k.answered = s, time.Now()
+	k.session = s
 }
 
 // open opens the session.
@@ -82,18 +77,6 @@
 	return err
 }
 
-// end ends the session, so that others need not wait until it lapses.
-func (k *keeper) end(ctx context.Context) {
-	s := k.current()
-	if s.id == 0 {
-		return
-	}
-	k.set(session{})
-	if err := k.store.End(ctx, s.id); err != nil {
-		k.log.Warn("Session not ended, it lapses.", slog.Int64("session", int64(s.id)), slog.Any("error", err))
-	}
-}
-
 // pause logs a change between renewals that succeed and that fail, and waits
 // for the next one.
 func (k *keeper) pause(ctx context.Context, err error) {
--- a/internal/host/notice.go
+++ b/internal/host/notice.go
@@ -7,7 +7,6 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"citrontray.example/citrontray/internal/key"
-	"citrontray.example/citrontray/internal/member"
 	"citrontray.example/citrontray/internal/owner"
 	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/platform"
@@ -158,7 +157,7 @@
 		return
 	}
 	r.announced = now
-	for i, name := range member.RankLeads(string(rangesPath(r.service)), v.members.Hosts) {
+	for i, name := range v.candidates(r.service) {
 		if i >= candidates {
 			break
 		}
--- a/internal/host/reading.go
+++ b/internal/host/reading.go
@@ -29,13 +29,15 @@
 		return
 	}
 	members := h.viewer.view().members
-	zones := make(map[place.Zone][]place.Host)
-	for _, m := range members.Hosts {
-		zones[m.Zone] = append(zones[m.Zone], m.Name)
-	}
-	for zone, hosts := range zones {
-		for _, name := range spread.Watchers(zone, hosts) {
-			if m, ok := members.Host(name); ok && name != h.site.Host {
+	rows := members.Rows()
+	told := make(map[place.Zone]bool)
+	for _, row := range rows {
+		if told[row.Zone] {
+			continue
+		}
+		told[row.Zone] = true
+		for _, watcher := range spread.Watchers(row.Zone, rows) {
+			if m, ok := members.Host(watcher.Host); ok && m.Name != h.site.Host {
 				h.desk.write(m.Ticket, datagramReading, body)
 			}
 		}
--- a/internal/host/registrar.go
+++ b/internal/host/registrar.go
@@ -2,77 +2,214 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
 	"time"
 
 	"citrontray.example/citrontray/internal/member"
+	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/platform"
+	"citrontray.example/citrontray/internal/spread"
 )
 
 const (
-	// hostTTL is the length of a host's session. Others learn sooner from its
-	// silence that it is gone; the list of hosts may lag.
-	hostTTL = 6 * time.Second
-	// hostKeep is the time between two renewals of it: two may be lost. An entry
-	// that lapsed with the store's outage is back that much later.
-	hostKeep = 1800 * time.Millisecond
-	// hostAgain is the pause after a failed call: each is billed, and all hosts
-	// try while the store is away.
-	hostAgain = 900 * time.Millisecond
-	// keepTimeout bounds one renewal.
-	keepTimeout = 600 * time.Millisecond
+	// alonePatience is how long a host waits to be entered by a registrar, and
+	// aloneSpread what is drawn on top of it; then it enters itself. Without a
+	// registrar all hosts may do so at the same moment.
+	alonePatience = 2 * time.Second
+	aloneSpread   = time.Second
+	// registerTick is the time between two looks at who is to be entered, where
+	// hosts tell their presence here.
+	registerTick = 200 * time.Millisecond
+	// registerTimeout bounds one write of entries.
+	registerTimeout = 600 * time.Millisecond
+	// entriesMost is how many entries one transaction writes, and removalsMost
+	// how many it removes, each of which needs a condition: the platform takes 32
+	// parts.
+	entriesMost  = 30
+	removalsMost = 15
 )
 
-// registrar keeps this host's entry in the store.
+// registrar sees to it that this host is listed among the members. It tells its
+// presence to the watchers of its zone, or to the seeds before it knows any, and
+// enters and removes the hosts that tell theirs here.
 type registrar struct {
-	keeper
-
+	host *Host
+	log  *slog.Logger
 	self member.Host
+
+	mu       sync.Mutex
+	registry *member.Registry
+
+	// missingSince is since when this host is not listed, told when it last told
+	// its presence, enteredAt when it last entered itself.
+	missingSince, told, enteredAt time.Time
+	// patience is how long it waits for others to enter it.
+	patience time.Duration
 }
 
-func newRegistrar(store platform.SessionStore, log *slog.Logger, self member.Host, shortest time.Duration) *registrar {
-	return &registrar{self: self, keeper: keeper{
-		store: store, log: log.With(slog.String("entry", "host")), ttl: max(hostTTL, shortest), every: hostKeep, again: hostAgain,
-	}}
+func newRegistrar(h *Host) *registrar {
+	return &registrar{host: h, log: h.log, self: h.member(), registry: member.NewRegistry(h.site.Zone)}
 }
 
-// run keeps the entry until ctx ends.
+// run keeps this host and those that tell it their presence listed until ctx
+// ends.
 func (r *registrar) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		r.pause(ctx, r.step(ctx))
+		now := time.Now()
+		list := &r.host.viewer.view().members
+		rest := r.appear(ctx, now, list)
+		r.mu.Lock()
+		enter, remove := r.registry.Due(now, list)
+		if r.registry.Told(now) {
+			rest = registerTick
+		}
+		r.mu.Unlock()
+		r.enter(ctx, enter)
+		r.remove(ctx, remove)
+		sleep(ctx, rest)
 	}
 	return nil
 }
 
-// step renews the session, or opens one and enters the host.
-func (r *registrar) step(ctx context.Context) error {
-	if r.current().id != 0 {
-		if err := r.keep(ctx); !errors.Is(err, platform.ErrSessionEnded) {
-			return err
+// hear takes the presence of a host.
+func (r *registrar) hear(now time.Time, p member.Presence) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.registry.Hear(now, p)
+}
+
+// heardPresence takes a datagram with the presence of another host.
+func (h *Host) heardPresence(body []byte) {
+	p, err := member.DecodePresence(body)
+	if err != nil {
+		h.log.Warn("Presence not readable, dropped.", slog.Any("error", err))
+		return
+	}
+	h.registrar.hear(time.Now(), p)
+}
+
+// appear tells this host's presence when that is due, and enters it where
+// nobody else has. It returns the time until the next look.
+func (r *registrar) appear(ctx context.Context, now time.Time, list *member.List) time.Duration {
+	every := member.PresenceInterval
+	if r.host.stopping.Load() {
+		return every
+	}
+	listed, ok := list.Host(r.self.Name)
+	missing := !ok || listed.Life != r.self.Life
+	switch {
+	case !missing:
+		r.missingSince = time.Time{}
+	case r.missingSince.IsZero():
+		r.missingSince, r.patience = now, alonePatience+rand.N(aloneSpread)
+	}
+	if missing {
+		every = member.EnterInterval
+	}
+	if now.Sub(r.told) >= every {
+		r.told = now
+		r.tell(now, list)
+	}
+	if missing && now.Sub(r.missingSince) > r.patience && now.Sub(r.enteredAt) > alonePatience {
+		r.enteredAt = now
+		r.enter(ctx, []member.Host{r.self})
+	}
+	return every
+}
+
+// tell sends this host's presence to its registrars.
+func (r *registrar) tell(now time.Time, list *member.List) {
+	for turn, addr := range r.registrars(list) {
+		p := member.Presence{Host: r.self, Turn: turn}
+		if addr == r.self.Ticket {
+			r.hear(now, p)
+			continue
+		}
+		body, err := p.Encode()
+		if err != nil {
+			r.log.Error("Presence not written.", slog.Any("error", err))
+			return
 		}
+		r.host.desk.write(addr, datagramPresence, body)
 	}
-	return r.register(ctx)
 }
 
-func (r *registrar) register(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
-	defer cancel()
-	value, err := member.EncodeHost(r.self)
-	if err != nil {
-		return err
+// registrars returns the hosts that this one tells its presence, the first one
+// first.
+func (r *registrar) registrars(list *member.List) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, w := range spread.Watchers(r.self.Zone, list.Rows()) {
+		if m, ok := list.Host(w.Host); ok {
+			out = append(out, m.Ticket)
+		}
 	}
-	if err := r.open(ctx); err != nil {
-		return err
+	if len(out) > 0 {
+		return out
 	}
-	s := r.current()
-	_, err = r.store.Commit(ctx, platform.Txn{
-		Put: []platform.Put{{Path: member.HostPath(r.self.Name), Value: value, Session: s.id}},
-	})
-	if err != nil {
-		r.set(session{}) // it lapses
-		return err
+	for _, seed := range r.host.site.Seeds {
+		out = append(out, seed.Ticket)
 	}
-	r.log.Info("Host entered in the store.", slog.Int64("session", int64(s.id)))
-	return nil
+	spread.Shuffle(r.self.Name, out)
+	return out
+}
+
+// enter writes the entries of hosts. What fails is tried again: the hosts go on
+// telling that they are there.
+func (r *registrar) enter(ctx context.Context, hosts []member.Host) {
+	for len(hosts) > 0 {
+		part := hosts[:min(len(hosts), entriesMost)]
+		hosts = hosts[len(part):]
+		var txn platform.Txn
+		for _, h := range part {
+			value, err := member.EncodeHost(h)
+			if err != nil {
+				r.log.Error("Entry of a host not written.", slog.String("host", string(h.Name)), slog.Any("error", err))
+				continue
+			}
+			txn.Put = append(txn.Put, platform.Put{Path: member.HostPath(h.Name), Value: value})
+		}
+		if err := r.commit(ctx, txn); err != nil {
+			r.log.Warn("Hosts not entered in the store.", slog.Int("hosts", len(part)), slog.Any("error", err))
+			continue
+		}
+		r.log.Info("Hosts entered in the store.", slog.Int("hosts", len(part)), slog.Any("names", names(part)))
+	}
+}
+
+// remove removes the entries of hosts that are silent, unless they have entered
+// again.
+func (r *registrar) remove(ctx context.Context, hosts []member.Host) {
+	for len(hosts) > 0 {
+		part := hosts[:min(len(hosts), removalsMost)]
+		hosts = hosts[len(part):]
+		var txn platform.Txn
+		for _, h := range part {
+			path := member.HostPath(h.Name)
+			txn.If = append(txn.If, platform.Condition{Path: path, Revision: h.Revision})
+			txn.Remove = append(txn.Remove, path)
+		}
+		if err := r.commit(ctx, txn); err != nil {
+			r.log.Warn("Silent hosts not removed from the store.", slog.Int("hosts", len(part)), slog.Any("error", err))
+			continue
+		}
+		r.log.Info("Silent hosts removed from the store.", slog.Int("hosts", len(part)), slog.Any("names", names(part)))
+	}
+}
+
+func (r *registrar) commit(ctx context.Context, txn platform.Txn) error {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	_, err := r.host.env.Store.Commit(ctx, txn)
+	return err
+}
+
+func names(hosts []member.Host) []place.Host {
+	out := make([]place.Host, len(hosts))
+	for i, h := range hosts {
+		out[i] = h.Name
+	}
+	return out
 }
--- a/internal/host/report.go
+++ b/internal/host/report.go
@@ -59,7 +59,7 @@
 	v := h.viewer.view()
 	out := status.Report{
 		Host: string(h.site.Host), Zone: string(h.site.Zone), Role: "host", Version: version.String(),
-		Started: time.Unix(0, int64(h.life)), Ready: v.usable() && !h.stopping.Load(), Store: h.registrar.answeredAt(),
+		Started: time.Unix(0, int64(h.life)), Ready: v.usable() && !h.stopping.Load(), Store: h.store.answeredAt(now),
 	}
 	if v.routes == nil {
 		return out
--- a/internal/host/runner.go
+++ b/internal/host/runner.go
@@ -89,9 +89,9 @@
 	vacantSince time.Time
 	campaigning bool
 	resigning   bool
-	// lookedAt is when this host last campaigned.
-	lookedAt time.Time
-	wonAt    time.Time
+	// lookedAt is when this host last campaigned; it does not until pausedUntil.
+	lookedAt, pausedUntil time.Time
+	wonAt                 time.Time
 	// heard is when a lead was last heard, announced when this host last told
 	// others that it leads.
 	heard, announced time.Time
--- /dev/null
+++ b/internal/host/scale_bench_test.go
@@ -0,0 +1,96 @@
+package host
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/fleet"
+	"citrontray.example/citrontray/internal/journal"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/member"
+	"citrontray.example/citrontray/internal/owner"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/spread"
+)
+
+// largeTable returns a table of a service whose targets own two ranges each.
+func largeTable(targets int, sequence uint64) *owner.Table {
+	t := &owner.Table{Service: "s", Version: owner.Version{Term: 1, Sequence: sequence}, Lead: "host-1", Life: 1}
+	spans := 2 * targets
+	for i := range spans {
+		n := (i + int(sequence)) % targets
+		t.Spans = append(t.Spans, owner.Span{
+			Range:  key.Range{First: key.Point(i * key.Points / spans), Last: key.Point((i+1)*key.Points/spans - 1)},
+			Target: place.Target(fmt.Sprintf("i-%010x", n*7919)), Addr: netip.MustParseAddrPort(fmt.Sprintf("10.1.%d.%d:8080", n/200, n%200)),
+		})
+	}
+	return t
+}
+
+func largeMembers(hosts int) member.List {
+	var l member.List
+	for i := range hosts {
+		share := 0.16
+		if i%20 == 0 {
+			share = 0.8
+		}
+		l.Hosts = append(l.Hosts, member.Host{
+			Name: place.Host(fmt.Sprintf("host-%03d", i)), Life: 1, Zone: place.Zone(fmt.Sprintf("z%d", i%5)), Processor: share,
+			Peer: netip.MustParseAddrPort("10.0.0.1:1"), Ticket: netip.MustParseAddrPort("10.0.0.1:2"),
+		})
+	}
+	return l
+}
+
+// BenchmarkTable takes a new table into the view of a host: what every host does
+// whenever a range moves.
+func BenchmarkTable(b *testing.B) {
+	for _, targets := range []int{37, 164, 575, 1200} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			board := spread.New()
+			v := newViewer(board, journal.Nop(), nil)
+			members := largeMembers(295)
+			body, err := members.Encode()
+			assert.NilError(b, err)
+			board.Publish(spread.Document{Name: docMembers, Version: spread.Version{Major: 1}, Body: body})
+			var d fleet.Doc
+			for i := range targets {
+				d.Targets = append(d.Targets, place.TargetRow{
+					Target: place.Target(fmt.Sprintf("i-%010x", i*7919)), Service: "s", Zone: "z0", State: place.Live,
+					Addr: netip.MustParseAddrPort("10.0.0.1:1"), Born: 1, Slots: 3,
+				})
+			}
+			body, err = d.Encode()
+			assert.NilError(b, err)
+			board.Publish(spread.Document{Name: docTargets, Version: spread.Version{Major: 1}, Body: body})
+			bodies := make([][]byte, 16)
+			for i := range bodies {
+				bodies[i], err = largeTable(targets, uint64(i)).Encode()
+				assert.NilError(b, err)
+			}
+			b.ReportMetric(float64(len(bodies[0])), "bytes")
+			now := time.Unix(1000, 0)
+			b.ResetTimer()
+			for i := range b.N {
+				board.Publish(spread.Document{Name: docRanges + "s", Version: spread.Version{Major: 1, Minor: uint64(i + 1)}, Body: bodies[i%16]})
+				v.refresh(now)
+			}
+		})
+	}
+}
+
+// BenchmarkFollow is a look of a host that does not lead at whether it should.
+func BenchmarkFollow(b *testing.B) {
+	for _, hosts := range []int{12, 70, 295, 1800} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			members := largeMembers(hosts)
+			for b.Loop() {
+				member.RankLeads("ranges/s", members.Hosts)
+			}
+		})
+	}
+}
--- a/internal/host/servers.go
+++ b/internal/host/servers.go
@@ -175,9 +175,6 @@
 	}
 	h.awaitSuccessors(bound)
 	stopLeads()
-	leave, done := context.WithTimeout(ctx, stopMargin/2)
-	defer done()
-	h.registrar.end(leave)
 	h.log.Info("Stopped.", millis("took", time.Since(start)))
 	return s.close()
 }
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -23,10 +23,11 @@
 	routes   *traffic.Table
 	revision uint64 // of the configuration, in the store
 	configAt time.Time
-	// fleet numbers the list of targets; it rises with each change.
-	fleet    uint64
-	targets  map[place.Target]place.TargetRow
-	services map[key.Service][]place.TargetRow
+	// lists numbers the lists of hosts and targets, fleet that of targets; they
+	// rise with each change.
+	lists, fleet uint64
+	targets      map[place.Target]place.TargetRow
+	services     map[key.Service][]place.TargetRow
 	// departed are the targets that went lately, with the time of it.
 	departed map[place.Target]time.Time
 	members  member.List
@@ -38,10 +39,16 @@
 	ranks *ranks
 }
 
-// ranks caches the order of homes of each pool.
+// ranks caches the order of homes of each pool, and of candidates for the lead of
+// each service, by one list of hosts and targets.
 type ranks struct {
 	mu    sync.Mutex
 	pools map[dispatch.PoolID][]place.Host
+	leads map[key.Service][]place.Host
+}
+
+func newRanks() *ranks {
+	return &ranks{pools: make(map[dispatch.PoolID][]place.Host), leads: make(map[key.Service][]place.Host)}
 }
 
 // onePool is the number of targets up to which a keyless service is one pool:
@@ -124,6 +131,18 @@
 	return out
 }
 
+// candidates returns the hosts that may lead a service, best first.
+func (v *view) candidates(service key.Service) []place.Host {
+	v.ranks.mu.Lock()
+	defer v.ranks.mu.Unlock()
+	out, ok := v.ranks.leads[service]
+	if !ok {
+		out = member.RankLeads(string(rangesPath(service)), v.members.Hosts)
+		v.ranks.leads[service] = out
+	}
+	return out
+}
+
 // viewer makes views of the board's documents.
 type viewer struct {
 	board        *spread.Memory
@@ -161,7 +180,7 @@
 		current: &view{
 			targets: map[place.Target]place.TargetRow{}, services: map[key.Service][]place.TargetRow{},
 			tables: map[key.Service]*owner.Table{}, tableAt: map[key.Service]time.Time{},
-			replaced: make(chan struct{}), ranks: &ranks{pools: map[dispatch.PoolID][]place.Host{}},
+			replaced: make(chan struct{}), ranks: newRanks(),
 		},
 	}
 }
@@ -180,14 +199,17 @@
 	defer v.mu.Unlock()
 	next := *v.current
 	changed := v.readConfig(now, &next)
-	changed = v.readMembers(&next) || changed
-	changed = v.readTargets(now, &next) || changed
+	listed := v.readMembers(&next)
+	listed = v.readTargets(now, &next) || listed
 	changed = v.readTables(now, &next) || changed
-	if !changed {
+	if !changed && !listed {
 		return false
 	}
 	next.replaced = make(chan struct{})
-	next.ranks = &ranks{pools: make(map[dispatch.PoolID][]place.Host)}
+	if listed {
+		next.ranks = newRanks()
+		next.lists++
+	}
 	old := v.current
 	v.current = &next
 	close(old.replaced)
@@ -241,8 +263,13 @@
 	return true
 }
 
-// logMembers writes a line for each host that came or went.
+// logMembers writes a line for each host that came or went, and one for the first
+// list, which may have thousands.
 func (v *viewer) logMembers(old, list member.List, revision uint64) {
+	if len(old.Hosts) == 0 && len(list.Hosts) > 0 {
+		v.log.Info("First list of hosts.", slog.Int("hosts", len(list.Hosts)), slog.Uint64("revision", revision))
+		return
+	}
 	for _, h := range list.Hosts {
 		if was, ok := old.Host(h.Name); !ok || was.Life != h.Life {
 			v.log.Info("Host is there.", slog.String("host", string(h.Name)), slog.Uint64("life", uint64(h.Life)),
@@ -304,8 +331,13 @@
 	return out
 }
 
-// logTargets writes a line for each target whose state changed.
+// logTargets writes a line for each target whose state changed, and one for the
+// first list.
 func (v *viewer) logTargets(old, now map[place.Target]place.TargetRow, revision uint64) {
+	if len(old) == 0 && len(now) > 0 {
+		v.log.Info("First list of targets.", slog.Int("targets", len(now)), slog.Uint64("revision", revision))
+		return
+	}
 	for name, row := range now {
 		if was, ok := old[name]; !ok || was.State != row.State || was.Born != row.Born {
 			v.log.Info("Target seen.", slog.String("target", string(name)), slog.String("service", row.Service),
--- a/internal/host/watcher.go
+++ b/internal/host/watcher.go
@@ -39,6 +39,10 @@
 	// retryFirst and retryMost bound the pause after a failed read.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 700 * time.Millisecond
+	// seedsFirst is how long a host that starts waits for what the seeds have
+	// read, and seedsSpread what is drawn on top of it: others do the same.
+	seedsFirst  = 1500 * time.Millisecond
+	seedsSpread = time.Second
 	// unsureFor is how long after a failed read the list of targets counts as
 	// unsure: entries lapse while the store is away, and are back within two
 	// seconds.
@@ -58,6 +62,9 @@
 	// tell says to the other watchers what this one has read.
 	tell func(reading)
 
+	// patience is how long the first read waits for what others have read.
+	patience time.Duration
+
 	// turn lets one run end before the next one begins.
 	turn sync.Mutex
 
@@ -73,8 +80,6 @@
 	// failedAt is when the store last failed to answer, answersSince when it
 	// first answered after that.
 	failedAt, answersSince time.Time
-	// hosts are the entries of hosts by the last read.
-	hosts []platform.Entry
 	// bad are the entries that were not readable, by revision.
 	bad map[platform.Path]platform.Revision
 }
@@ -85,6 +90,7 @@
 	defer w.turn.Unlock()
 	w.bad = make(map[platform.Path]platform.Revision)
 	w.answersSince = time.Time{} // nothing is known of the time before
+	w.await(ctx)
 	for ctx.Err() == nil {
 		now := time.Now()
 		if rest := w.rest(now); rest > 0 {
@@ -109,6 +115,30 @@
 	return nil
 }
 
+// await gives the seeds time to tell which hosts there are, once: every process
+// that knows none would watch, and hundreds start at the same moment.
+func (w *watcher) await(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, w.patience)
+	defer cancel()
+	w.patience = 0
+	heard := w.board.Subscribe(docMembers)
+	for ctx.Err() == nil && !w.knowsHosts() {
+		select {
+		case <-ctx.Done():
+		case <-heard:
+		}
+	}
+}
+
+func (w *watcher) knowsHosts() bool {
+	doc, ok := w.board.Get(docMembers)
+	if !ok {
+		return false
+	}
+	list, err := member.DecodeList(doc.Body)
+	return err == nil && len(list.Hosts) > 0
+}
+
 // rest returns how long this watcher need not read: another one has read a
 // moment ago, and what it found is here.
 func (w *watcher) rest(now time.Time) time.Duration {
@@ -146,7 +176,7 @@
 	for _, e := range entries {
 		switch {
 		case e.Path == platform.PathConfig:
-			w.publish(docTraffic, revision, e.Value, nil)
+			w.publish(docTraffic, e.Revision, e.Value, nil)
 		case strings.HasPrefix(string(e.Path), string(platform.PathTargets)):
 			targets = append(targets, e)
 		case strings.HasPrefix(string(e.Path), string(member.Prefix)):
@@ -157,7 +187,7 @@
 	}
 	body, err := w.encodeTargets(now, targets)
 	w.publish(docTargets, revision, body, err)
-	body, err = w.encodeMembers(w.keepHosts(now, members))
+	body, err = w.encodeMembers(members)
 	w.publish(docMembers, revision, body, err)
 	return nil
 }
@@ -173,30 +203,6 @@
 	return !w.answersSince.IsZero() && now.Sub(w.answersSince) >= unsureFor
 }
 
-// keepHosts adds the hosts whose entries lapsed while the store was away: they
-// enter themselves again within moments, and until then nobody's share of
-// anything changes.
-func (w *watcher) keepHosts(now time.Time, members []platform.Entry) []platform.Entry {
-	there := make(map[platform.Path]bool, len(members))
-	for _, e := range members {
-		there[e.Path] = true
-	}
-	if w.unsure(now) {
-		for _, e := range w.hosts {
-			if !there[e.Path] {
-				members = append(members, e)
-			}
-		}
-	}
-	w.hosts = w.hosts[:0]
-	for _, e := range members {
-		if member.IsHost(e.Path) {
-			w.hosts = append(w.hosts, e)
-		}
-	}
-	return members
-}
-
 // publish offers a document at the store's revision. One that has not changed
 // is not sent round again.
 func (w *watcher) publish(name spread.Name, revision platform.Revision, body []byte, err error) {
--- a/internal/host/watcher_test.go
+++ b/internal/host/watcher_test.go
@@ -11,6 +11,7 @@
 	"citrontray.example/citrontray/internal/fleet"
 	"citrontray.example/citrontray/internal/journal"
 	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/platform"
 	"citrontray.example/citrontray/internal/spread"
 	"citrontray.example/citrontray/internal/standin"
 )
@@ -47,6 +48,27 @@
 	}
 }
 
+// TestConfigurationOnce: watchers that read the store at different times give the
+// same configuration the same version. It is large, and would go to every host
+// once for each of them.
+func TestConfigurationOnce(t *testing.T) {
+	store := standin.NewSessions()
+	store.Set(platform.PathConfig, []byte("one"))
+	version := func() spread.Version {
+		board := spread.New()
+		w := &watcher{store: store, board: board, log: journal.Nop()}
+		assert.NilError(t, w.read(context.Background()))
+		doc, ok := board.Get(docTraffic)
+		assert.Assert(t, ok)
+		return doc.Version
+	}
+	first := version()
+	store.Set("ranges/s", []byte("x"))
+	assert.Equal(t, version(), first)
+	store.Set(platform.PathConfig, []byte("two"))
+	assert.Assert(t, first.Less(version()))
+}
+
 // TestUnsureWatcher: what a watcher reads right after the store turned it away
 // does not keep others from reading for themselves.
 func TestUnsureWatcher(t *testing.T) {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -29,9 +29,6 @@
 // HostPath returns the path of a host's entry.
 func HostPath(host place.Host) platform.Path { return hostPrefix + platform.Path(host) }
 
-// IsHost reports whether a path is that of a host's entry.
-func IsHost(path platform.Path) bool { return strings.HasPrefix(string(path), string(hostPrefix)) }
-
 // LeadPath returns the path of the entry that the lead of a service holds.
 func LeadPath(service key.Service) platform.Path { return leadPrefix + platform.Path(service) }
 
@@ -193,17 +190,13 @@
 func (l *List) Rows() []place.HostRow {
 	out := make([]place.HostRow, 0, len(l.Hosts))
 	for _, h := range l.Hosts {
-		out = append(out, place.HostRow{Host: h.Name, Zone: h.Zone, Lead: h.Peer})
+		out = append(out, place.HostRow{Host: h.Name, Zone: h.Zone, Lead: h.Peer, Processor: h.Processor})
 	}
 	return out
 }
 
-// strongShare is the part of the strongest host's processor from which a host
-// counts as strong enough to lead: a lead orders all targets of its service
-// about, twice a second.
-const strongShare = 0.5
-
-// RankLeads orders hosts for the lead of a service: the strong ones first.
+// RankLeads orders hosts for the lead of a service: the strong ones first, as a
+// lead orders all targets of its service about, twice a second.
 func RankLeads(work string, hosts []Host) []place.Host {
 	var most float64
 	for _, h := range hosts {
@@ -211,7 +204,7 @@
 	}
 	var strong, weak []Host
 	for _, h := range hosts {
-		if h.Processor >= strongShare*most {
+		if place.Strong(h.Processor, most) {
 			strong = append(strong, h)
 		} else {
 			weak = append(weak, h)
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"encoding/binary"
+	"errors"
 	"fmt"
 	"net/netip"
 	"sort"
@@ -84,36 +86,21 @@
 	return t
 }
 
+// wireTable holds the targets and spans in columns of their own, so that a host
+// reads a table of a thousand spans, several times a second, at the cost of a few
+// allocations.
 type wireTable struct {
-	Service  string       `cbor:"1,keyasint"`
-	Term     uint64       `cbor:"2,keyasint"`
-	Sequence uint64       `cbor:"3,keyasint"`
-	Lead     string       `cbor:"4,keyasint"`
-	Targets  []wireTarget `cbor:"5,keyasint"`
-	Spans    []wireSpan   `cbor:"6,keyasint"`
-	Based    uint64       `cbor:"7,keyasint,omitempty"`
-	Life     uint64       `cbor:"8,keyasint,omitempty"`
-	Cold     []wireCold   `cbor:"9,keyasint,omitempty"`
-}
-
-// wireCold tells of the span at an index for how many ms it is cold.
-type wireCold struct {
-	_    struct{} `cbor:",toarray"`
-	Span int
-	Cold int64
-}
-
-type wireTarget struct {
-	_      struct{} `cbor:",toarray"`
-	Target string
-	Addr   netip.AddrPort
-}
-
-type wireSpan struct {
-	_      struct{} `cbor:",toarray"`
-	Last   uint32
-	Target int // index into Targets, -1 for none
-	Back   int64
+	Service  string `cbor:"1,keyasint"`
+	Term     uint64 `cbor:"2,keyasint"`
+	Sequence uint64 `cbor:"3,keyasint"`
+	Lead     string `cbor:"4,keyasint"`
+	// Targets are the length of a name, the name, the length of an address, the
+	// address. Spans are the number of keys less one, and a word: 0 for no owner,
+	// followed by Back in ms, or 2i+1 for target i, 2i+2 followed by Cold in ms.
+	Targets []byte `cbor:"5,keyasint"`
+	Spans   []byte `cbor:"6,keyasint"`
+	Based   uint64 `cbor:"7,keyasint,omitempty"`
+	Life    uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Encode returns the table as hosts pass it on.
@@ -122,22 +109,29 @@
 		Service: string(t.Service), Term: uint64(t.Version.Term), Sequence: t.Version.Sequence, Lead: string(t.Lead),
 		Based: uint64(t.Based), Life: uint64(t.Life),
 	}
-	index := make(map[place.Target]int)
-	for i, s := range t.Spans {
-		if s.Cold > 0 {
-			w.Cold = append(w.Cold, wireCold{Span: i, Cold: s.Cold.Milliseconds()})
+	index := make(map[place.Target]uint64)
+	for _, s := range t.Spans {
+		w.Spans = binary.AppendUvarint(w.Spans, uint64(s.Range.Last-s.Range.First))
+		if s.Target == "" {
+			w.Spans = binary.AppendUvarint(append(w.Spans, 0), uint64(s.Back.Milliseconds()))
+			continue
 		}
-		at := -1
-		if s.Target != "" {
-			known, ok := index[s.Target]
-			if !ok {
-				known = len(w.Targets)
-				index[s.Target] = known
-				w.Targets = append(w.Targets, wireTarget{Target: string(s.Target), Addr: s.Addr})
+		at, ok := index[s.Target]
+		if !ok {
+			at = uint64(len(index))
+			index[s.Target] = at
+			addr, err := s.Addr.MarshalBinary()
+			if err != nil {
+				return nil, fmt.Errorf("owner: encode table: %w", err)
 			}
-			at = known
+			w.Targets = append(binary.AppendUvarint(w.Targets, uint64(len(s.Target))), s.Target...)
+			w.Targets = append(binary.AppendUvarint(w.Targets, uint64(len(addr))), addr...)
+		}
+		if s.Cold == 0 {
+			w.Spans = binary.AppendUvarint(w.Spans, 2*at+1)
+			continue
 		}
-		w.Spans = append(w.Spans, wireSpan{Last: uint32(s.Range.Last), Target: at, Back: s.Back.Milliseconds()})
+		w.Spans = binary.AppendUvarint(binary.AppendUvarint(w.Spans, 2*at+2), uint64(s.Cold.Milliseconds()))
 	}
 	body, err := cbor.Marshal(w)
 	if err != nil {
@@ -157,26 +151,105 @@
 		Version: Version{Term: Term(w.Term), Sequence: w.Sequence}, Based: platform.Revision(w.Based),
 		Life: place.Incarnation(w.Life),
 	}
-	next := key.Point(0)
-	for _, s := range w.Spans {
-		span := Span{
-			Range: key.Range{First: next, Last: key.Point(s.Last)},
-			Back:  time.Duration(s.Back) * time.Millisecond,
+	targets, err := decodeTargets(w.Targets)
+	if err != nil {
+		return nil, fmt.Errorf("owner: decode table: %w", err)
+	}
+	if t.Spans, err = decodeSpans(w.Spans, targets); err != nil {
+		return nil, fmt.Errorf("owner: decode table: %w", err)
+	}
+	return t, nil
+}
+
+// tableTarget is a target that a table names.
+type tableTarget struct {
+	name place.Target
+	addr netip.AddrPort
+}
+
+var errColumn = errors.New("column ends early")
+
+func decodeTargets(column []byte) ([]tableTarget, error) {
+	const shortest = 12 // bytes of a target, about
+	out := make([]tableTarget, 0, len(column)/shortest)
+	names := string(column) // all names share it
+	for at := 0; at < len(column); {
+		first, last, ok := field(column, at)
+		if !ok {
+			return nil, errColumn
 		}
-		if !span.Range.Valid() || s.Target >= len(w.Targets) {
-			return nil, fmt.Errorf("owner: decode table: bad span to %d", s.Last)
+		t := tableTarget{name: place.Target(names[first:last])}
+		if first, last, ok = field(column, last); !ok {
+			return nil, errColumn
 		}
-		if s.Target >= 0 {
-			span.Target, span.Addr = place.Target(w.Targets[s.Target].Target), w.Targets[s.Target].Addr
+		if err := t.addr.UnmarshalBinary(column[first:last]); err != nil {
+			return nil, err
 		}
-		next = span.Range.Last + 1
-		t.Spans = append(t.Spans, span)
+		out, at = append(out, t), last
+	}
+	return out, nil
+}
+
+// field returns where the field lies whose length stands at a place.
+func field(column []byte, at int) (first, last int, ok bool) {
+	length, n := binary.Uvarint(column[at:])
+	if n <= 0 || length > uint64(len(column)-at-n) {
+		return 0, 0, false
+	}
+	return at + n, at + n + int(length), true
+}
+
+// numbers reads the numbers of a column one after the other.
+type numbers struct {
+	column []byte
+	short  bool
+}
+
+func (r *numbers) next() uint64 {
+	v, n := binary.Uvarint(r.column)
+	if n <= 0 {
+		r.short, r.column = true, nil
+		return 0
 	}
-	for _, c := range w.Cold {
-		if c.Span < 0 || c.Span >= len(t.Spans) {
-			return nil, fmt.Errorf("owner: decode table: no span %d", c.Span)
+	r.column = r.column[n:]
+	return v
+}
+
+// longestSpell bounds the times in a table, in ms.
+const longestSpell = uint64(time.Hour / time.Millisecond)
+
+func (r *numbers) spell() time.Duration {
+	return time.Duration(min(r.next(), longestSpell)) * time.Millisecond
+}
+
+func decodeSpans(column []byte, targets []tableTarget) ([]Span, error) {
+	const shortest = 3 // bytes of a span, about
+	out := make([]Span, 0, len(column)/shortest)
+	next := uint64(0)
+	for r := (numbers{column: column}); len(r.column) > 0; {
+		last := next + r.next()
+		if r.short || last < next || last >= key.Points {
+			return nil, fmt.Errorf("bad span from %d", next)
 		}
-		t.Spans[c.Span].Cold = time.Duration(c.Cold) * time.Millisecond
+		s := Span{Range: key.Range{First: key.Point(next), Last: key.Point(last)}}
+		word := r.next()
+		switch {
+		case word == 0:
+			s.Back = r.spell()
+		case (word-1)/2 < uint64(len(targets)):
+			t := targets[(word-1)/2]
+			s.Target, s.Addr = t.name, t.addr
+			if word%2 == 0 {
+				s.Cold = r.spell()
+			}
+		default:
+			return nil, fmt.Errorf("no target %d", (word-1)/2)
+		}
+		if r.short {
+			return nil, errColumn
+		}
+		next = last + 1
+		out = append(out, s)
 	}
-	return t, nil
+	return out, nil
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -52,8 +52,18 @@
 	// Lead and Entry are the peer addresses (UDP) of the host's processes.
 	Lead  netip.AddrPort
 	Entry netip.AddrPort
+	// Processor is the host's share of a core, zero where it is not known.
+	Processor float64
 }
 
+// strongShare is the part of the strongest host's processor from which a host
+// counts as strong: work that grows with a whole service or zone goes to these.
+const strongShare = 0.5
+
+// Strong reports whether a host with a processor is strong where the strongest
+// one has most.
+func Strong(processor, most float64) bool { return processor >= strongShare*most }
+
 // TargetRow is one target as the platform lists it.
 type TargetRow struct {
 	Target  Target
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -23,8 +23,8 @@
 	Ticket netip.AddrPort
 	// Admin serves metrics and status.
 	Admin netip.AddrPort
-	// Seeds are peer addresses of hosts to start from; they may be stale.
-	Seeds []netip.AddrPort
+	// Seeds are hosts to start from; they may be stale.
+	Seeds []Seed
 	// Processor is the share of a core that the machine has.
 	Processor float64
 	// MemoryBytes is what a process may use, Descriptors how many files.
@@ -33,6 +33,9 @@
 	Bounds      Bounds
 }
 
+// Seed is a host that a process may ask before it knows any others.
+type Seed struct{ Peer, Ticket netip.AddrPort }
+
 // Bounds are what the deployment promises to its operators and clients.
 type Bounds struct {
 	// Drain is how long after its notice a leaving target still takes work.
--- a/internal/spread/delta_bench_test.go
+++ b/internal/spread/delta_bench_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"citrontray.example/citrontray/internal/grant"
 	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/place"
@@ -52,7 +54,7 @@
 				whole := packWhole(Document{Body: next})
 				var delta []byte
 				for b.Loop() {
-					delta = compress(next, base)
+					delta = deltaOf(b, next, base)
 				}
 				b.ReportMetric(float64(len(next)), "body_B")
 				b.ReportMetric(float64(len(whole.payload)), "packed_B")
@@ -64,7 +66,7 @@
 
 func BenchmarkOpenDelta(b *testing.B) {
 	base, next := routing(b, 1024, 0), routing(b, 1024, 10)
-	delta := compress(next, base)
+	delta := deltaOf(b, next, base)
 	for b.Loop() {
 		if _, err := expand(delta, base); err != nil {
 			b.Fatal(err)
@@ -72,3 +74,10 @@
 	}
 	b.ReportAllocs()
 }
+
+func deltaOf(t testing.TB, body, base []byte) []byte {
+	t.Helper()
+	delta, err := compressDelta(body, base)
+	assert.NilError(t, err)
+	return delta
+}
--- a/internal/spread/follow.go
+++ b/internal/spread/follow.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,9 @@
 	// answerMargin is the time on top of the wait.
 	answerMargin = 500 * time.Millisecond
 	fetchTimeout = 2 * time.Second
+	// otherFetch is how long a document is left to another follower that gets
+	// it already: the link of the process that it asks may be full.
+	otherFetch = 250 * time.Millisecond
 	// pollInterval is the least time between two polls of one process.
 	pollInterval = 20 * time.Millisecond
 	// spareInterval is the same for a process that says what another one says
@@ -142,37 +146,50 @@
 	return out
 }
 
-// fetch gets the documents that are newer than the board's, but those that
-// another follower of this node gets already; for these it waits. It reports
-// whether all of them came.
+// fetch gets the documents that are newer than the board's. Those that another
+// follower of this node gets already it leaves to that one for a while. It
+// reports whether all of them came.
 func (f *follower) fetch(ctx context.Context, newer []header) (bool, error) {
-	var mine []header
-	var others []<-chan struct{}
+	var mine, others []header
+	var running []<-chan struct{}
 	for _, h := range newer {
 		if !f.node.board.version(h.name).Less(h.version) {
 			continue
 		}
-		running, started := f.node.fetching.start(h)
+		other, started := f.node.fetching.start(h)
 		if started {
 			mine = append(mine, h)
 			continue
 		}
-		others = append(others, running)
+		others, running = append(others, h), append(running, other)
 	}
 	complete, err := f.fetchMine(ctx, mine)
 	f.node.fetching.end(mine)
-	if err != nil {
+	if err != nil || len(others) == 0 {
+		return complete, err
+	}
+	if err := await(ctx, running, otherFetch); err != nil {
 		return false, err
 	}
-	for _, running := range others {
+	late := slices.DeleteFunc(others, func(h header) bool { return !f.node.board.version(h.name).Less(h.version) })
+	came, err := f.fetchMine(ctx, late)
+	return complete && came, err
+}
+
+// await waits until all channels are closed, at most for d.
+func await(ctx context.Context, closed []<-chan struct{}, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for _, c := range closed {
 		select {
-		case <-running:
+		case <-c:
+		case <-timer.C:
+			return nil
 		case <-ctx.Done():
-			return false, ctx.Err()
+			return ctx.Err()
 		}
 	}
-	// The next poll tells whether the others' fetches went well.
-	return complete && len(others) == 0, nil
+	return nil
 }
 
 func (f *follower) fetchMine(ctx context.Context, headers []header) (bool, error) {
--- a/internal/spread/network_test.go
+++ b/internal/spread/network_test.go
@@ -19,8 +19,10 @@
 	mu    sync.Mutex
 	links map[netip.AddrPort]*wire
 	cut   func(from, to netip.AddrPort) bool
-	calls int
-	bytes int
+	// choked are the addresses whose long answers never arrive.
+	choked map[netip.AddrPort]bool
+	calls  int
+	bytes  int
 }
 
 // wire is one process's peer.Link.
@@ -35,7 +37,7 @@
 const hop = time.Millisecond
 
 func newNetwork() *network {
-	return &network{links: make(map[netip.AddrPort]*wire), cut: func(_, _ netip.AddrPort) bool { return false }}
+	return &network{links: make(map[netip.AddrPort]*wire), choked: make(map[netip.AddrPort]bool), cut: func(_, _ netip.AddrPort) bool { return false }}
 }
 
 func (n *network) link(self peer.Identity, addr netip.AddrPort) *wire {
@@ -52,6 +54,20 @@
 	n.cut = cut
 }
 
+// choke lets no long answer of an address arrive any more: its link is full.
+func (n *network) choke(addr netip.AddrPort) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.choked[addr] = true
+}
+
+func (n *network) chokes(addr netip.AddrPort, size int) bool {
+	const long = 2 << 10
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return size > long && n.choked[addr]
+}
+
 func (n *network) remove(addr netip.AddrPort) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -90,7 +106,7 @@
 	}
 	answer, err := handler(ctx, w.self, body)
 	time.Sleep(hop)
-	if w.net.find(w.addr, to, len(answer)) == nil {
+	if w.net.find(w.addr, to, len(answer)) == nil || w.net.chokes(to, len(answer)) {
 		<-ctx.Done()
 		return nil, peer.ErrLost
 	}
--- a/internal/spread/node.go
+++ b/internal/spread/node.go
@@ -26,6 +26,8 @@
 	Self peer.Identity
 	// Addr is the process's own peer address: it follows itself nowhere.
 	Addr netip.AddrPort
+	// Processor is the host's share of a core, zero where nobody tells.
+	Processor float64
 	// OwnLead is where an entry finds the lead process of its own host.
 	OwnLead netip.AddrPort
 	// Seeds are peer addresses of lead processes to start from.
@@ -110,6 +112,7 @@
 		Zone:      n.cfg.Self.Zone,
 		Role:      n.cfg.Self.Role,
 		Addr:      n.cfg.Addr,
+		Processor: n.cfg.Processor,
 		OwnLead:   n.cfg.OwnLead,
 		Seeds:     n.cfg.Seeds,
 		Hosts:     n.hosts(),
--- a/internal/spread/node_test.go
+++ b/internal/spread/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"strings"
 	"testing"
@@ -83,9 +84,9 @@
 		d.store.set("one")
 		d.startAll()
 		time.Sleep(inForce)
-		lost := spread.Watchers("zone-a", hostsOf(d.hosts, "zone-a"))
+		lost := spread.Watchers("zone-a", d.hosts)
 		for _, row := range d.hosts {
-			if row.Host == lost[0] || row.Host == lost[1] {
+			if row.Host == lost[0].Host || row.Host == lost[1].Host {
 				d.stop(row)
 			}
 		}
@@ -155,10 +156,10 @@
 		d.store.set("one")
 		d.startAll()
 		time.Sleep(inForce)
-		watchers := spread.Watchers("zone-a", hostsOf(d.hosts, "zone-a"))
+		watchers := spread.Watchers("zone-a", d.hosts)
 		lost := make(map[netip.AddrPort]bool)
 		for _, row := range d.hosts {
-			if row.Zone == "zone-a" && row.Host != watchers[0] && row.Host != watchers[1] {
+			if row.Zone == "zone-a" && row.Host != watchers[0].Host && row.Host != watchers[1].Host {
 				lost[row.Lead] = true
 				delete(d.leads, row.Host)
 			}
@@ -171,14 +172,31 @@
 	})
 }
 
-func hostsOf(rows []place.HostRow, zone place.Zone) []place.Host {
-	var out []place.Host
-	for _, row := range rows {
-		if row.Zone == zone {
-			out = append(out, row.Host)
-		}
+// TestChokedWatcher: a watcher whose link is full names a large document and
+// never gets it across. Its followers have it from the zone's other watcher in
+// time, whichever they ask first.
+func TestChokedWatcher(t *testing.T) {
+	for name, choked := range map[string]int{"first": 0, "second": 1} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 12, 3, func(t *testing.T, d *deployment) {
+				d.store.set("one")
+				d.startAll()
+				time.Sleep(inForce)
+				watchers := spread.Watchers("zone-a", d.hosts)
+				d.net.choke(watchers[choked].Lead)
+				delete(d.leads, watchers[choked].Host)
+				d.entry = nil
+				large := make([]byte, 16<<10)
+				rng := rand.New(rand.NewPCG(1, 2)) // nothing that could be compressed
+				for i := range large {
+					large[i] = byte(rng.Uint32())
+				}
+				d.store.set(string(large))
+				time.Sleep(1200 * time.Millisecond)
+				assert.Equal(t, len(d.behind(spread.Settings, string(large))), 0)
+			})
+		})
 	}
-	return out
 }
 
 // TestStoreCallsStayFlat counts calls of the store over a minute as hosts are
@@ -211,14 +229,14 @@
 		d.startAll()
 		time.Sleep(inForce)
 		const zone = place.Zone("zone-a")
-		watchers := spread.Watchers(zone, hostsOf(d.hosts, zone))
+		watchers := spread.Watchers(zone, d.hosts)
 		var silent netip.Addr
 		var lead *spread.Memory
 		for _, row := range d.hosts {
 			switch {
-			case row.Host == watchers[0]:
+			case row.Host == watchers[0].Host:
 				silent = row.Lead.Addr()
-			case row.Zone == zone && row.Host != watchers[1]:
+			case row.Zone == zone && row.Host != watchers[1].Host:
 				lead = d.leads[row.Host]
 			}
 		}
@@ -233,8 +251,8 @@
 		publish(600 * time.Millisecond) // all polls are new after it
 		publish(600 * time.Millisecond)
 		d.net.setCut(func(from, to netip.AddrPort) bool { return (from.Addr() == silent) != (to.Addr() == silent) })
-		delete(d.leads, watchers[0])
-		delete(d.entry, watchers[0])
+		delete(d.leads, watchers[0].Host)
+		delete(d.entry, watchers[0].Host)
 		for range 3 {
 			publish(510 * time.Millisecond)
 		}
--- a/internal/spread/parcel.go
+++ b/internal/spread/parcel.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 
 	"github.com/klauspost/compress/zstd"
 )
@@ -87,16 +88,15 @@
 	r.packed[base] = p
 }
 
-// packDocument returns a document in its smallest form; old is the body of the
-// base version, nil for none.
+// packDocument returns a document as a delta against old, the body of the base
+// version, or whole where that is nil or most of it has changed.
 func packDocument(doc Document, base Version, old []byte) parcel {
-	whole := packWhole(doc)
 	if old == nil {
-		return whole
+		return packWhole(doc)
 	}
-	delta := compress(doc.Body, old)
-	if len(delta) >= len(whole.payload) {
-		return whole
+	delta, err := compressDelta(doc.Body, old)
+	if err != nil || len(delta) > len(doc.Body)/2 {
+		return packWhole(doc)
 	}
 	return parcel{name: doc.Name, version: doc.Version, form: formDelta, base: base, payload: delta}
 }
@@ -106,7 +106,7 @@
 	if len(doc.Body) < packFrom {
 		return p
 	}
-	if packed := compress(doc.Body, nil); len(packed) < len(doc.Body) {
+	if packed := compress(doc.Body); len(packed) < len(doc.Body) {
 		p.form, p.payload = formPacked, packed
 	}
 	return p
@@ -148,19 +148,9 @@
 	return r.body(at)
 }
 
-// compress returns body as one zstd frame with a checksum. With a base, the
-// frame refers to the base for all that both have in common.
-func compress(body, base []byte) []byte {
-	opts := []zstd.EOption{
-		zstd.WithEncoderConcurrency(1),
-		zstd.WithEncoderLevel(zstd.SpeedFastest),
-		zstd.WithLowerEncoderMem(true),
-		zstd.WithWindowSize(windowFor(len(body) + len(base))),
-	}
-	if base != nil {
-		opts = append(opts, zstd.WithEncoderDictRaw(0, base))
-	}
-	encoder, err := zstd.NewWriter(nil, opts...)
+// compress returns body as one zstd frame with a checksum.
+func compress(body []byte) []byte {
+	encoder, err := zstd.NewWriter(nil, encoderOptions(len(body))...)
 	if err != nil {
 		// The options are constant: without compression all still works.
 		return body
@@ -168,6 +158,39 @@
 	return encoder.EncodeAll(body, nil)
 }
 
+// deltaEncoders keeps encoders for deltas: a new one takes a megabyte, and a
+// watcher makes some dozens a second.
+var deltaEncoders sync.Pool
+
+// compressDelta returns body as one zstd frame with a checksum, which refers to
+// the base for all that both have in common.
+func compressDelta(body, base []byte) ([]byte, error) {
+	size, dict := len(body)+len(base), zstd.WithEncoderDictRaw(0, base)
+	encoder, _ := deltaEncoders.Get().(*zstd.Encoder)
+	var err error
+	if encoder == nil {
+		encoder, err = zstd.NewWriter(nil, append(encoderOptions(size), dict)...)
+	} else {
+		err = encoder.ResetWithOptions(nil, zstd.WithWindowSize(windowFor(size)), dict)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("spread: delta: %w", err)
+	}
+	out := encoder.EncodeAll(body, nil)
+	deltaEncoders.Put(encoder)
+	return out, nil
+}
+
+// encoderOptions returns the options of an encoder for that many bytes.
+func encoderOptions(size int) []zstd.EOption {
+	return []zstd.EOption{
+		zstd.WithEncoderConcurrency(1),
+		zstd.WithEncoderLevel(zstd.SpeedFastest),
+		zstd.WithLowerEncoderMem(true),
+		zstd.WithWindowSize(windowFor(size)),
+	}
+}
+
 // windowFor returns the smallest valid window that covers size bytes.
 func windowFor(size int) int {
 	window := zstd.MinWindowSize
--- a/internal/spread/topology.go
+++ b/internal/spread/topology.go
@@ -21,23 +21,46 @@
 	maxSeeds = 4
 )
 
-// Watchers returns the hosts that watch the store for a zone, of the hosts
-// given: the first by rendezvous hashing. All who know the same hosts agree.
-func Watchers(zone place.Zone, hosts []place.Host) []place.Host {
+// Watchers returns the hosts that watch the store for a zone, of all hosts
+// given: the first by rendezvous hashing, strong ones before others, as many
+// hosts follow each. All who know the same hosts agree.
+func Watchers(zone place.Zone, hosts []place.HostRow) []place.HostRow {
 	ranked := rank(zone, hosts)
 	return ranked[:min(len(ranked), watchersPerZone)]
 }
 
-func rank(zone place.Zone, hosts []place.Host) []place.Host {
-	weights := make(map[place.Host]uint64, len(hosts))
-	for _, host := range hosts {
-		weights[host] = weight(zone, host)
+func rank(zone place.Zone, hosts []place.HostRow) []place.HostRow {
+	type ranked struct {
+		place.HostRow
+
+		strong bool
+		weight uint64
+	}
+	var most float64
+	list := make([]ranked, 0, len(hosts))
+	for _, h := range hosts {
+		if h.Zone == zone {
+			most = max(most, h.Processor)
+			list = append(list, ranked{HostRow: h, weight: weight(zone, h.Host)})
+		}
+	}
+	for i := range list {
+		list[i].strong = place.Strong(list[i].Processor, most)
 	}
-	out := slices.Clone(hosts)
-	slices.SortFunc(out, func(a, b place.Host) int {
-		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
+	slices.SortFunc(list, func(a, b ranked) int {
+		if a.strong != b.strong {
+			if a.strong {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.Host, b.Host))
 	})
-	return slices.Compact(out)
+	out := make([]place.HostRow, len(list))
+	for i := range list {
+		out[i] = list[i].HostRow
+	}
+	return out
 }
 
 func weight(zone place.Zone, host place.Host) uint64 {
@@ -49,8 +72,10 @@
 	Self place.Host
 	Zone place.Zone
 	Role peer.Role
-	// Addr is the process's own peer address, where it is known.
-	Addr netip.AddrPort
+	// Addr is the process's own peer address, where it is known, Processor its
+	// host's share of a core.
+	Addr      netip.AddrPort
+	Processor float64
 	// OwnLead is where an entry finds the lead process of its own host.
 	OwnLead netip.AddrPort
 	Seeds   []netip.AddrPort
@@ -143,11 +168,7 @@
 // first: they share their followers evenly.
 func (v View) spare(watchers []netip.AddrPort) []netip.AddrPort {
 	ranked := slices.Clone(watchers)
-	order := make(map[netip.AddrPort]uint64, len(ranked))
-	for _, addr := range ranked {
-		order[addr] = xxhash.Sum64String(string(v.Self) + "\x00" + addr.String())
-	}
-	slices.SortFunc(ranked, func(a, b netip.AddrPort) int { return cmp.Compare(order[a], order[b]) })
+	Shuffle(v.Self, ranked)
 	first := slices.IndexFunc(ranked, func(a netip.AddrPort) bool { return !v.Failing(a) })
 	if first < 0 {
 		return nil // whoever answers first will do
@@ -157,26 +178,22 @@
 
 // chosen returns the rows of a zone's watchers among those not suspected.
 func (v View) chosen(zone place.Zone, suspected func(netip.AddrPort) bool) []place.HostRow {
-	rows := make(map[place.Host]place.HostRow)
-	var hosts []place.Host
+	var hosts []place.HostRow
 	for _, row := range v.Hosts {
-		if row.Zone != zone || row.State != place.Live || !row.Lead.IsValid() {
-			continue
+		if row.Zone == zone && row.Host != v.Self && row.State == place.Live && row.Lead.IsValid() {
+			hosts = append(hosts, row)
 		}
-		rows[row.Host] = row
-		hosts = append(hosts, row.Host)
 	}
 	if zone == v.Zone && v.Role == peer.RoleLead && !v.leaving() {
-		rows[v.Self] = place.HostRow{Host: v.Self, Zone: zone}
-		hosts = append(hosts, v.Self)
+		hosts = append(hosts, place.HostRow{Host: v.Self, Zone: zone, Processor: v.Processor})
 	}
 	ranked := rank(zone, hosts)
 	var out []place.HostRow
-	for _, host := range ranked[:min(len(ranked), maxRank)] {
-		if host != v.Self && suspected(rows[host].Lead) {
+	for _, row := range ranked[:min(len(ranked), maxRank)] {
+		if row.Host != v.Self && suspected(row.Lead) {
 			continue
 		}
-		if out = append(out, rows[host]); len(out) == watchersPerZone {
+		if out = append(out, row); len(out) == watchersPerZone {
 			break
 		}
 	}
@@ -202,13 +219,20 @@
 // someSeeds returns a few of the seeds, different ones for different hosts.
 func (v View) someSeeds() []netip.AddrPort {
 	out := slices.DeleteFunc(slices.Clone(v.Seeds), func(a netip.AddrPort) bool { return a == v.Addr })
-	order := func(a netip.AddrPort) uint64 {
-		return xxhash.Sum64String(string(v.Self) + "\x00" + a.String())
-	}
-	slices.SortFunc(out, func(a, b netip.AddrPort) int { return cmp.Compare(order(a), order(b)) })
+	Shuffle(v.Self, out)
 	return out[:min(len(out), maxSeeds)]
 }
 
+// Shuffle sorts addresses in an order of the host's own, always the same one: so
+// hosts share out whom they ask first.
+func Shuffle(host place.Host, list []netip.AddrPort) {
+	order := make(map[netip.AddrPort]uint64, len(list))
+	for _, addr := range list {
+		order[addr] = xxhash.Sum64String(string(host) + "\x00" + addr.String())
+	}
+	slices.SortFunc(list, func(a, b netip.AddrPort) int { return cmp.Compare(order[a], order[b]) })
+}
+
 // addresses is a list without doubles.
 type addresses struct{ list []netip.AddrPort }
 
--- a/internal/spread/wire_test.go
+++ b/internal/spread/wire_test.go
@@ -58,8 +58,8 @@
 	base := bytes.Repeat([]byte("0123456789abcdef"), 100)
 	next := append(bytes.Clone(base), "more"...)
 	f.Add(uint8(formRaw), next)
-	f.Add(uint8(formPacked), compress(next, nil))
-	f.Add(uint8(formDelta), compress(next, base))
+	f.Add(uint8(formPacked), compress(next))
+	f.Add(uint8(formDelta), deltaOf(f, next, base))
 	f.Fuzz(func(t *testing.T, kind uint8, payload []byte) {
 		board := New()
 		at := Version{Major: 1}
