--- a/internal/partition/partition.go
+++ b/internal/partition/partition.go
@@ -179,7 +179,7 @@
 			return
 		}
 		fair := p.mean * hot.Capacity
-		if chance := math.Sqrt(hot.variance + math.Pow(fair*hot.Doubt, 2)); hot.work-fair < sureDeviations*chance {
+		if chance := math.Hypot(math.Sqrt(hot.variance), fair*hot.Doubt); hot.work-fair < sureDeviations*chance {
 			hot.stuck = true // chance may explain it
 			continue
 		}
--- a/internal/partition/scale_test.go
+++ b/internal/partition/scale_test.go
@@ -24,8 +24,6 @@
 	*world
 	times map[place.Target]*measured
 	speed map[place.Target]float64
-	debt  map[place.Target]float64
-	rates map[place.Target]float64
 }
 
 func newFleet(n int, perTarget float64) *fleetWorld {
@@ -168,7 +166,8 @@
 	}
 	for _, t := range f.targets {
 		fair := f.perS * math.Pow(f.speed[t.Name], speedTilt) / all
-		sq += math.Pow(rate[t.Name]/fair-1, 2)
+		off := rate[t.Name]/fair - 1
+		sq += off * off
 	}
 	n := float64(len(f.targets))
 	return sum / n, math.Sqrt(sq / n), worth
