Requests sent ahead run side by side; a start waits for the seeds only briefly

Cause. net/http ran the requests of a connection one after the other, and no longer noticed that a client had gone once a byte of its next request was there. internal/ingress reads requests ahead (16 a connection), runs those that may be repeated side by side, writes answers in the order of requests, each as soon as it is first, and ends a connection only behind the last request that was passed on. A handler that panics ends its request alone. The connection's goroutine is one as before, and answers are written in one call.

Only the deployment's first start waits that long, others 0.2 to 0.4 s.

--- a/internal/host/front.go
+++ b/internal/host/front.go
@@ -26,9 +26,6 @@
 // ServeHTTP answers one request of a client.
 func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
-	if h.stopping.Load() {
-		w.Header()["Connection"] = []string{"close"}
-	}
 	id := r.Header.Get(h.names.Request)
 	j, result := h.newJob(w, r, id, start)
 	if result == nil {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -160,9 +160,7 @@
 	h.watcher = &watcher{
 		store: h.env.Store, board: h.board, log: h.log, decodeTarget: h.env.DecodeTarget, tell: h.tellReading,
 	}
-	if !slices.ContainsFunc(h.site.Seeds, func(s site.Seed) bool { return s.Peer == h.site.Peer }) && len(h.site.Seeds) > 0 {
-		h.watcher.patience = seedsFirst + rand.N(seedsSpread)
-	}
+	h.watcher.patience = patienceOf(&h.site)
 	var seeds []netip.AddrPort
 	for _, seed := range h.site.Seeds {
 		seeds = append(seeds, seed.Peer)
@@ -175,6 +173,19 @@
 	return nil
 }
 
+// patienceOf returns how long a host that starts waits for what the seeds have
+// read from the store. A seed itself does not wait.
+func patienceOf(s *site.Site) time.Duration {
+	if len(s.Seeds) == 0 || slices.ContainsFunc(s.Seeds, func(o site.Seed) bool { return o.Peer == s.Peer }) {
+		return 0
+	}
+	least := seedsAgain
+	if s.First {
+		least = seedsFirst
+	}
+	return least + rand.N(least)
+}
+
 // setBounds puts bounds in force.
 func (h *Host) setBounds(b site.Bounds) {
 	h.bounds.Store(&b)
--- a/internal/host/runner.go
+++ b/internal/host/runner.go
@@ -29,7 +29,8 @@
 	renewRight = 8 * time.Second
 	// planInterval is the time between two plans.
 	planInterval = 200 * time.Millisecond
-	// levelInterval is the time between two plans that even out all targets.
+	// levelInterval is the longest time between two plans that even out all
+	// targets.
 	levelInterval = time.Second
 	// firstGrant is how long a new owner may take to answer its first grant.
 	firstGrant = 800 * time.Millisecond
@@ -130,7 +131,7 @@
 			Service: service, Host: h.site.Host, Life: h.life,
 			Hold: min(holdTime, h.site.Bounds.HoldMax), Renew: renewInterval, Order: orderTimeout,
 			Right: renewRight, Lease: max(leaseTTL, h.site.Bounds.SessionMin),
-			Plan: planBounds, PlanEvery: planInterval, LevelEvery: levelInterval, First: firstGrant,
+			Plan: planBounds, PlanEvery: planInterval, LevelMost: levelInterval, First: firstGrant,
 			Publish: publishInterval, Pace: publishPace, Warn: releaseNotice,
 			Gather: gatherTime, Settle: settleTime, Fresh: freshLease, Reclaim: reclaimAfter,
 		}),
--- a/internal/host/watcher.go
+++ b/internal/host/watcher.go
@@ -39,10 +39,13 @@
 	// retryFirst and retryMost bound the pause after a failed read.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 700 * time.Millisecond
-	// seedsFirst is how long a host that starts waits for what the seeds have
-	// read, and seedsSpread what is drawn on top of it: others do the same.
-	seedsFirst  = 1500 * time.Millisecond
-	seedsSpread = time.Second
+	// seedsFirst is how long a host waits for what the seeds have read when the
+	// whole deployment starts for the first time: there are no clients yet. What
+	// is drawn on top of it is up to as long.
+	seedsFirst = 1500 * time.Millisecond
+	// seedsAgain is the same for any other start: seeds that run answer in a tenth
+	// of a second, and clients wait.
+	seedsAgain = 200 * time.Millisecond
 	// arrangeTime is how long it takes at most until a process that knows the
 	// hosts no longer watches, unless it is one of those that should.
 	arrangeTime = 500 * time.Millisecond
--- /dev/null
+++ b/internal/ingress/exchange.go
@@ -0,0 +1,107 @@
+package ingress
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"time"
+)
+
+// exchange is one request and its answer. It is the http.ResponseWriter of its
+// handler.
+type exchange struct {
+	conn    *conn
+	request *http.Request
+	body    *body
+	// beside tells that it may run beside others, last that the connection ends
+	// behind it.
+	beside, last bool
+
+	header  http.Header
+	status  int
+	content []byte
+	// answered is the conn's, under its lock.
+	answered bool
+}
+
+func newExchange(c *conn, r *http.Request) *exchange {
+	x := &exchange{conn: c, request: r, header: make(http.Header)}
+	x.last = r.Close || !r.ProtoAtLeast(1, 1)
+	r.Body = http.NoBody
+	if x.body = newBody(c, r); x.body != nil {
+		r.Body = x.body
+		return x
+	}
+	x.beside = (r.Method == http.MethodGet || r.Method == http.MethodHead) && c.server.cfg.Beside(r)
+	return x
+}
+
+// run has the request handled and its answer written in its turn.
+func (x *exchange) run() {
+	defer x.conn.work.Done()
+	x.handle()
+	if x.body != nil && !x.body.finish() {
+		x.last = true // where the next request begins is not known
+	}
+	x.conn.mu.Lock()
+	x.answered = true
+	x.conn.over = x.conn.over || x.last
+	x.conn.mu.Unlock()
+	x.conn.flush()
+}
+
+// handle runs the handler. One that panics ends this request alone.
+func (x *exchange) handle() {
+	defer func() {
+		if cause := recover(); cause != nil {
+			x.conn.server.cfg.Log.Error("Handler panicked, its request ends.", slog.String("cause", fmt.Sprint(cause)),
+				slog.String("stack", string(debug.Stack())))
+			x.header, x.content, x.status = make(http.Header), nil, http.StatusInternalServerError
+		}
+	}()
+	x.conn.server.cfg.Handler.ServeHTTP(x, x.request)
+}
+
+// Header implements http.ResponseWriter.
+func (x *exchange) Header() http.Header { return x.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (x *exchange) WriteHeader(status int) {
+	if x.status == 0 {
+		x.status = status
+	}
+}
+
+// Write implements http.ResponseWriter; the answer goes out whole.
+func (x *exchange) Write(p []byte) (int, error) {
+	x.WriteHeader(http.StatusOK)
+	x.content = append(x.content, p...)
+	return len(p), nil
+}
+
+// encode returns the answer as it is sent.
+func (x *exchange) encode(now time.Time) []byte {
+	x.WriteHeader(http.StatusOK)
+	bodyless := x.status == http.StatusNoContent || x.status == http.StatusNotModified
+	if _, ok := x.header["Content-Length"]; !ok && !bodyless {
+		x.header["Content-Length"] = []string{strconv.Itoa(len(x.content))}
+	}
+	if x.last {
+		x.header["Connection"] = []string{"close"}
+	}
+	if _, ok := x.header["Date"]; !ok {
+		x.header["Date"] = []string{now.UTC().Format(http.TimeFormat)}
+	}
+	const headGuess = 512
+	out := bytes.NewBuffer(make([]byte, 0, headGuess+len(x.content)))
+	out.WriteString(statusLine(x.status))
+	_ = x.header.Write(out) // a buffer takes everything
+	out.WriteString("\r\n")
+	if !bodyless && (x.request == nil || x.request.Method != http.MethodHead) {
+		out.Write(x.content)
+	}
+	return out.Bytes()
+}
--- /dev/null
+++ b/internal/ingress/ingress_test.go
@@ -0,0 +1,468 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/journal"
+)
+
+// testServer serves with a handler that waits for the test where a path says so.
+type testServer struct {
+	*Server
+
+	t       *testing.T
+	addr    string
+	served  chan error
+	entered chan string // the paths whose handler has begun, but streamed
+
+	mu    sync.Mutex
+	gates map[string]chan struct{}
+	gone  atomic.Int32
+	taken atomic.Int32
+}
+
+func serve(t *testing.T) *testServer {
+	t.Helper()
+	return serveFor(t, time.Minute, time.Second)
+}
+
+// serveFor serves with an idle time and a time for the head of a request.
+func serveFor(t *testing.T, idle, head time.Duration) *testServer {
+	t.Helper()
+	s := &testServer{t: t, served: make(chan error, 1), entered: make(chan string, 1024), gates: make(map[string]chan struct{})}
+	s.Server = New(Config{
+		Handler: s, Beside: func(r *http.Request) bool { return !strings.HasPrefix(r.URL.Path, "/alone") },
+		Idle: func() time.Duration { return idle }, HeaderBytes: 16 << 10, HeaderTimeout: head, Log: journal.Nop(),
+	})
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s.addr = l.Addr().String()
+	go func() { s.served <- s.Serve(l) }()
+	t.Cleanup(func() {
+		assert.NilError(t, s.Close())
+		assert.NilError(t, <-s.served)
+	})
+	return s
+}
+
+// gate returns what a handler of a path under /wait waits for.
+func (s *testServer) gate(path string) chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gates[path] == nil {
+		s.gates[path] = make(chan struct{})
+	}
+	return s.gates[path]
+}
+
+func (s *testServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.taken.Add(1)
+	if r.URL.Path == streamed {
+		time.Sleep(time.Millisecond)
+		return
+	}
+	s.entered <- r.URL.Path
+	if strings.HasPrefix(r.URL.Path, "/unread") {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	switch {
+	case strings.Contains(r.URL.Path, "/wait"):
+		select {
+		case <-s.gate(r.URL.Path):
+		case <-r.Context().Done():
+			s.gone.Add(1)
+			return
+		}
+	case strings.HasPrefix(r.URL.Path, "/panic"):
+		panic("told to")
+	}
+	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.URL.Path, body)
+}
+
+// client is one connection to a server under test.
+type client struct {
+	net.Conn
+
+	t  *testing.T
+	br *bufio.Reader
+}
+
+func (s *testServer) dial() *client {
+	s.t.Helper()
+	c, err := net.Dial("tcp4", s.addr)
+	assert.NilError(s.t, err)
+	s.t.Cleanup(func() { _ = c.Close() })
+	assert.NilError(s.t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	return &client{Conn: c, t: s.t, br: bufio.NewReader(c)}
+}
+
+func (c *client) send(text string) {
+	c.t.Helper()
+	_, err := io.WriteString(c, text)
+	assert.NilError(c.t, err)
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n" }
+
+func post(path, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+}
+
+// want reads an answer, and reports whether the connection ends behind it.
+func (c *client) want(status int, body string) (last bool) {
+	c.t.Helper()
+	r, err := http.ReadResponse(c.br, nil)
+	assert.NilError(c.t, err)
+	defer func() { _ = r.Body.Close() }()
+	got, err := io.ReadAll(r.Body)
+	assert.NilError(c.t, err)
+	assert.Equal(c.t, r.StatusCode, status)
+	if body != "" {
+		assert.Equal(c.t, string(got), body)
+	}
+	return r.Close
+}
+
+// ends checks that the server closes the connection without another byte.
+func (c *client) ends() {
+	c.t.Helper()
+	_, err := c.br.ReadByte()
+	assert.Assert(c.t, errors.Is(err, io.EOF), "%v", err)
+}
+
+func (s *testServer) begins(paths ...string) {
+	s.t.Helper()
+	wanted := make(map[string]bool)
+	for _, p := range paths {
+		wanted[p] = true
+	}
+	for range paths {
+		select {
+		case p := <-s.entered:
+			assert.Assert(s.t, wanted[p], "%s", p)
+		case <-time.After(5 * time.Second):
+			s.t.Fatalf("not all of %v begin", paths)
+		}
+	}
+}
+
+func (s *testServer) quiet(d time.Duration) {
+	s.t.Helper()
+	select {
+	case p := <-s.entered:
+		s.t.Fatalf("%s began", p)
+	case <-time.After(d):
+	}
+}
+
+const moment = 50 * time.Millisecond
+
+// TestOrder: requests sent ahead run side by side where they may; answers come in
+// the order of the requests, and one that waits holds no other request's work up.
+func TestOrder(t *testing.T) {
+	tests := map[string]func(t *testing.T, s *testServer, c *client){
+		"side by side, in order": func(t *testing.T, s *testServer, c *client) {
+			c.send(get("/wait/1") + get("/2") + get("/wait/3"))
+			s.begins("/wait/1", "/2", "/wait/3")
+			close(s.gate("/wait/3"))
+			time.Sleep(moment)
+			close(s.gate("/wait/1"))
+			c.want(http.StatusOK, "GET /wait/1 ")
+			c.want(http.StatusOK, "GET /2 ")
+			c.want(http.StatusOK, "GET /wait/3 ")
+		},
+		"a first answer does not wait for later ones": func(t *testing.T, s *testServer, c *client) {
+			c.send(get("/1") + get("/wait/2"))
+			c.want(http.StatusOK, "GET /1 ")
+			close(s.gate("/wait/2"))
+			c.want(http.StatusOK, "GET /wait/2 ")
+		},
+		"one that may not run beside others waits": func(t *testing.T, s *testServer, c *client) {
+			c.send(get("/wait/1") + get("/alone/2"))
+			s.begins("/wait/1")
+			s.quiet(moment)
+			close(s.gate("/wait/1"))
+			c.want(http.StatusOK, "GET /wait/1 ")
+			c.want(http.StatusOK, "GET /alone/2 ")
+		},
+		"nothing is begun behind one that may not": func(t *testing.T, s *testServer, c *client) {
+			c.send(post("/wait/1", "x") + get("/2"))
+			s.begins("/wait/1")
+			s.quiet(moment)
+			close(s.gate("/wait/1"))
+			c.want(http.StatusOK, "POST /wait/1 x")
+			c.want(http.StatusOK, "GET /2 ")
+		},
+		"a bound of them runs at once": func(t *testing.T, s *testServer, c *client) {
+			var ahead strings.Builder
+			paths := make([]string, 0, aheadMost+4)
+			for i := range aheadMost + 4 {
+				paths = append(paths, fmt.Sprintf("/wait/%d", i))
+				ahead.WriteString(get(paths[i]))
+			}
+			c.send(ahead.String())
+			s.begins(paths[:aheadMost]...)
+			s.quiet(moment)
+			close(s.gate("/wait/0"))
+			c.want(http.StatusOK, "GET /wait/0 ")
+			s.begins(paths[aheadMost])
+		},
+		"bodies of both kinds": func(t *testing.T, s *testServer, c *client) {
+			c.send("POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nT: x\r\n\r\n" + post("/2", "def") + get("/3"))
+			c.want(http.StatusOK, "POST /1 abc")
+			c.want(http.StatusOK, "POST /2 def")
+			c.want(http.StatusOK, "GET /3 ")
+		},
+		"a body that waits for word": func(t *testing.T, s *testServer, c *client) {
+			c.send("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n")
+			line, err := c.br.ReadString('\n')
+			assert.NilError(t, err)
+			assert.Equal(t, line, "HTTP/1.1 100 Continue\r\n")
+			_, err = c.br.ReadString('\n')
+			assert.NilError(t, err)
+			c.send("ok")
+			c.want(http.StatusOK, "POST /1 ok")
+		},
+		"a handler that panics ends its request alone": func(t *testing.T, s *testServer, c *client) {
+			c.send(get("/wait/1") + get("/panic") + get("/3"))
+			s.begins("/wait/1", "/panic", "/3")
+			close(s.gate("/wait/1"))
+			c.want(http.StatusOK, "GET /wait/1 ")
+			c.want(http.StatusInternalServerError, "")
+			c.want(http.StatusOK, "GET /3 ")
+		},
+		"the client asks for the end": func(t *testing.T, s *testServer, c *client) {
+			c.send(get("/wait/1") + "GET /2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n" + get("/3"))
+			s.begins("/wait/1", "/2")
+			s.quiet(moment)
+			close(s.gate("/wait/1"))
+			assert.Assert(t, !c.want(http.StatusOK, "GET /wait/1 "))
+			assert.Assert(t, c.want(http.StatusOK, "GET /2 "))
+			c.ends()
+		},
+		"a body left unread ends the connection": func(t *testing.T, s *testServer, c *client) {
+			c.send("POST /unread HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\nabc")
+			assert.Assert(t, c.want(http.StatusRequestEntityTooLarge, ""))
+			c.ends()
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t)
+			test(t, s, s.dial())
+		})
+	}
+}
+
+// TestClientLeaves: what runs for a client that has gone ends at once, however
+// many requests it has sent ahead.
+func TestClientLeaves(t *testing.T) {
+	for name, ahead := range map[string]int{"one": 1, "two": 2, "many": aheadMost} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t)
+			c := s.dial()
+			for i := range ahead {
+				c.send(get(fmt.Sprintf("/wait/%d", i)))
+				s.begins(fmt.Sprintf("/wait/%d", i))
+			}
+			assert.NilError(t, c.Close())
+			const bound = 500 * time.Millisecond // as long as work may go on for nobody
+			for end := time.Now().Add(bound); s.gone.Load() < int32(ahead); time.Sleep(time.Millisecond) {
+				assert.Assert(t, time.Now().Before(end), "%d of %d ended", s.gone.Load(), ahead)
+			}
+		})
+	}
+}
+
+// TestUnreadable: a head that can't be read, or could be read in two ways, ends
+// its connection behind one refusal; nothing of it or behind it is handled.
+func TestUnreadable(t *testing.T) {
+	tests := map[string]struct {
+		head   string
+		status int
+	}{
+		"two lengths":         {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc", http.StatusBadRequest},
+		"length and chunks":   {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", http.StatusBadRequest},
+		"signed length":       {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +3\r\n\r\nabc", http.StatusBadRequest},
+		"list of lengths":     {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3, 3\r\n\r\nabc", http.StatusBadRequest},
+		"negative length":     {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n", http.StatusBadRequest},
+		"unknown coding":      {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", http.StatusNotImplemented},
+		"chunks before 1.1":   {"POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", http.StatusBadRequest},
+		"bare line feed":      {"GET / HTTP/1.1\nHost: a\n\n", http.StatusBadRequest},
+		"bare line feed last": {"GET / HTTP/1.1\r\nHost: a\r\n\n", http.StatusBadRequest},
+		"bare return":         {"GET / HTTP/1.1\r\nHost: a\rX: b\r\n\r\n", http.StatusBadRequest},
+		"control byte":        {"GET / HTTP/1.1\r\nHo\x01st: a\r\n\r\n", http.StatusBadRequest},
+		"zero byte":           {"GET / HTTP/1.1\r\nHost: a\r\nX: \x00\r\n\r\n", http.StatusBadRequest},
+		"space before colon":  {"GET / HTTP/1.1\r\nHost : a\r\n\r\n", http.StatusBadRequest},
+		"folded line":         {"GET / HTTP/1.1\r\nHost: a\r\nX: b\r\n c\r\n\r\n", http.StatusBadRequest},
+		"no colon":            {"GET / HTTP/1.1\r\nHost\r\n\r\n", http.StatusBadRequest},
+		"no host":             {"GET / HTTP/1.1\r\n\r\n", http.StatusBadRequest},
+		"two hosts":           {"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", http.StatusBadRequest},
+		"no request line":     {"nonsense\r\n\r\n", http.StatusBadRequest},
+		"another protocol":    {"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", http.StatusHTTPVersionNotSupported},
+		"long head":           {"GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 20<<10) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		"many lines":          {"GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("X: y\r\n", linesMost) + "\r\n", http.StatusRequestHeaderFieldsTooLarge},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t)
+			c := s.dial()
+			c.send(get("/wait/1") + test.head)
+			s.begins("/wait/1")
+			close(s.gate("/wait/1"))
+			c.want(http.StatusOK, "GET /wait/1 ")
+			assert.Assert(t, c.want(test.status, ""))
+			c.ends()
+			assert.Equal(t, s.taken.Load(), int32(1))
+		})
+	}
+}
+
+// TestSlowHead: a head that does not come to its end in time is refused.
+func TestSlowHead(t *testing.T) {
+	c := serveFor(t, time.Minute, moment).dial()
+	c.send("GET / HT")
+	c.want(http.StatusRequestTimeout, "")
+	c.ends()
+}
+
+// TestIdle: a connection is closed when it was idle for its time, but not while a
+// request waits on it that has not been read yet.
+func TestIdle(t *testing.T) {
+	t.Run("nothing waits", func(t *testing.T) {
+		serveFor(t, moment, time.Second).dial().ends()
+	})
+	t.Run("after an answer", func(t *testing.T) {
+		s := serveFor(t, moment, time.Second)
+		c := s.dial()
+		c.send(get("/1"))
+		c.want(http.StatusOK, "GET /1 ")
+		c.ends()
+	})
+	t.Run("while one runs", func(t *testing.T) {
+		s := serveFor(t, moment, time.Second)
+		c := s.dial()
+		c.send(get("/wait/1"))
+		time.Sleep(3 * moment)
+		close(s.gate("/wait/1"))
+		c.want(http.StatusOK, "GET /wait/1 ")
+	})
+	t.Run("a request waits", func(t *testing.T) {
+		s := serve(t)
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer func() { _ = l.Close() }()
+		client, err := net.Dial("tcp4", l.Addr().String())
+		assert.NilError(t, err)
+		server, err := l.Accept()
+		assert.NilError(t, err)
+		k := newConn(s.Server, server)
+		for _, sent := range []string{"", "G", "ET / HTTP/1.1\r\n\r\n"} {
+			_, err = io.WriteString(client, sent)
+			assert.NilError(t, err)
+			time.Sleep(moment)
+			k.over = false
+			ended, err := k.expire()
+			assert.Equal(t, ended, sent == "")
+			assert.Equal(t, errors.Is(err, errIdle), sent == "")
+		}
+	})
+}
+
+// TestStop: in a planned stop all that was taken is answered, whenever it came;
+// each connection ends behind the last of it, and says so.
+func TestStop(t *testing.T) {
+	s := serve(t)
+	const clients, rounds = 20, 400
+	var asked, answered, cut atomic.Int64
+	var work sync.WaitGroup
+	for i := range clients {
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			n, err := streamRequests(s.addr, i%3+1, rounds)
+			asked.Add(int64(n.sent))
+			answered.Add(int64(n.answered))
+			if err != nil {
+				cut.Add(1)
+				t.Logf("client %d: %v", i, err)
+			}
+		}()
+	}
+	time.Sleep(2 * moment)
+	s.Hurry(moment)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	time.Sleep(moment)
+	assert.NilError(t, s.Shutdown(ctx))
+	work.Wait()
+	t.Logf("%d sent, %d answered, %d taken", asked.Load(), answered.Load(), s.taken.Load())
+	assert.Equal(t, cut.Load(), int64(0))
+	assert.Equal(t, answered.Load(), int64(s.taken.Load()))
+	assert.Assert(t, answered.Load() > 0)
+}
+
+// streamed is the path of the requests of streams.
+const streamed = "/x"
+
+// stream counts what a client sent and got.
+type stream struct{ sent, answered int }
+
+// streamRequests keeps some requests ahead on one connection until the server ends
+// it. The error tells of an end that is not behind an answer that says so, or of
+// an idle connection.
+func streamRequests(addr string, ahead, rounds int) (stream, error) {
+	var n stream
+	c, err := net.Dial("tcp4", addr)
+	if err != nil {
+		return n, err
+	}
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for range rounds {
+		for n.sent < n.answered+ahead {
+			if _, err := io.WriteString(c, get(streamed)); err != nil {
+				break // the answers that are on their way are still read
+			}
+			n.sent++
+		}
+		r, err := http.ReadResponse(br, nil)
+		if err != nil {
+			return n, fmt.Errorf("after %d answers: %w", n.answered, err)
+		}
+		_, err = io.Copy(io.Discard, r.Body)
+		if err = errors.Join(err, r.Body.Close()); err != nil {
+			return n, err
+		}
+		n.answered++
+		if r.Close {
+			_, err := br.ReadByte()
+			if !errors.Is(err, io.EOF) && !errors.Is(err, os.ErrDeadlineExceeded) {
+				return n, fmt.Errorf("behind the last answer: %w", err)
+			}
+			return n, nil
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return n, errors.New("never ended")
+}
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -30,11 +30,11 @@
 	// Lease is the length of the lead's own lease.
 	Lease time.Duration
 	Plan  partition.Config
-	// PlanEvery is the time between two plans, LevelEvery that between two that
-	// even out all targets; the others are for those far above what they can do.
-	// Moves that begin together share their writes and tables.
-	PlanEvery  time.Duration
-	LevelEvery time.Duration
+	// PlanEvery is the time between two plans. With many targets those that even
+	// out all of them are up to LevelMost apart, and the others are for targets far
+	// above what they can do: moves that begin together share writes and tables.
+	PlanEvery time.Duration
+	LevelMost time.Duration
 	// First is how long a new owner may take to answer its first grant.
 	First time.Duration
 	// Publish is the longest time between two tables: an old one tells hosts
--- a/internal/owner/move.go
+++ b/internal/owner/move.go
@@ -28,7 +28,7 @@
 	targets := c.targets(now)
 	bounds := c.cfg.Plan
 	bounds.Moves = max(bounds.Moves, len(targets)/targetsPerMove)
-	if now.Sub(c.leveled) < c.cfg.LevelEvery {
+	if now.Sub(c.leveled) < min(time.Duration(len(targets))*levelPace, c.cfg.LevelMost) {
 		bounds.Urgent = urgentUse
 	} else {
 		c.leveled = now
@@ -58,6 +58,10 @@
 // larger one has as many more busy ranges.
 const targetsPerMove = 4
 
+// levelPace is, for each target, the time between two plans that even out all of
+// them: more targets move more, and each move costs every host a table.
+const levelPace = 2 * time.Millisecond
+
 // urgentUse is the use of a target, its work over its capacity, from which it
 // gives work away at the next plan: requests there wait for longer than they take.
 const urgentUse = 1.3
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -25,6 +25,8 @@
 	Admin netip.AddrPort
 	// Seeds are hosts to start from; they may be stale.
 	Seeds []Seed
+	// First tells that the whole deployment starts for the first time.
+	First bool
 	// Processor is the share of a core that the machine has.
 	Processor float64
 	// MemoryBytes is what a process may use, Descriptors how many files.
