A second copy of an answer marks no request as not run, and no order as answered

What other operators met: a server sent a second, late copy of an answer on a connection in use again. Here it could do harm in two places, shown first by tests that failed. - A refusal without a request's id was taken for the answer of whatever ran on the connection: the request was reported as not run while it ran (TestSecondCopy, 2 of 9 cases). One is now taken only on a connection that has had no other request. The connection is looked at before each order and after each answer; bytes too many put all orders on it in doubt, and no range granted over it is released before a higher fence is answered (TestAnsweredTwice). A connection that the target has closed leaves no doubt any more. Left: a copy that comes between an order and its answer is noticed at the next order, 0.6 s later.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -63,18 +63,40 @@
 	return c.raw == nil || Quiet(c.raw)
 }
 
-// Quiet reports whether a connection is open and no bytes wait on it. It does
-// not wait, also where another goroutine is reading.
-func Quiet(raw syscall.RawConn) bool {
-	ok := false
+// Pending is what a read of a connection would find now.
+type Pending uint8
+
+// PendingNothing is an open connection without bytes to read, PendingBytes one
+// with some, PendingEnd one that the other side has ended or that has failed.
+const (
+	PendingNothing Pending = iota
+	PendingBytes
+	PendingEnd
+)
+
+// Look returns what a read of a connection would find. It does not wait, also
+// where another goroutine is reading.
+func Look(raw syscall.RawConn) Pending {
+	found := PendingEnd
 	err := raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		ok = errors.Is(err, syscall.EAGAIN)
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, syscall.EAGAIN):
+			found = PendingNothing
+		case err == nil && n > 0:
+			found = PendingBytes
+		}
 	})
-	return err == nil && ok
+	if err != nil {
+		return PendingEnd
+	}
+	return found
 }
 
+// Quiet reports whether a connection is open and no bytes wait on it.
+func Quiet(raw syscall.RawConn) bool { return Look(raw) == PendingNothing }
+
 // do sends a request and reads its answer. After anything but a whole answer
 // the connection is broken and must be closed.
 func (c *conn) do(r *Request, host string, now time.Time) Result {
--- a/internal/forward/named.go
+++ b/internal/forward/named.go
@@ -74,8 +74,9 @@
 }
 
 // readNamed reads the answer to r, which carries its id; a refusal may come
-// without one. Late answers to earlier requests, which carry other ids, are
-// skipped; the connection is not used again after one.
+// without one, but only on a connection that has had no other request: it could be
+// a second copy of an earlier one. Late answers to earlier requests, which carry
+// other ids, are skipped; the connection is not used again after one.
 func (c *conn) readNamed(r *Request) Result {
 	skipped := 0
 	for {
@@ -85,7 +86,7 @@
 			return uncertain(outcome.AnswerCut, err)
 		}
 		ids := resp.Header[http.CanonicalHeaderKey(r.Names.Request)]
-		if len(ids) == 1 && ids[0] == r.ID || len(ids) == 0 && refused(resp, r.Names) {
+		if len(ids) == 1 && ids[0] == r.ID || len(ids) == 0 && c.idleAt.IsZero() && refused(resp, r.Names) {
 			return c.finish(resp, r, skipped > 0)
 		}
 		if skipped++; len(ids) != 1 || skipped > maxStale || !framed(resp) {
--- a/internal/forward/named_test.go
+++ b/internal/forward/named_test.go
@@ -195,3 +195,60 @@
 	assert.Assert(t, ok, "%#v", result)
 	assert.Equal(t, answered.Status, 413)
 }
+
+// TestSecondCopy: a target sends another copy of an answer while the connection's
+// next request runs. That request gets its own answer or an uncertain end, never
+// the copy's; above all it is not said to have not run.
+func TestSecondCopy(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nCitrontray-Request: ID\r\nCitrontray-Stamp: s\r\nContent-Length: 2\r\n\r\nok"
+	const refusal = "HTTP/1.1 503 Busy\r\nCitrontray-Not-Run: busy\r\nContent-Length: 2\r\n\r\nno"
+	labelled := strings.Replace(refusal, "\r\n", "\r\nCitrontray-Request: ID\r\n", 1)
+	tests := map[string]struct {
+		first, copy string // of the first request
+		own         bool   // the second request's answer may still be had
+	}{
+		"whole answer":              {ok, ok, true},
+		"refusal with its id":       {labelled, labelled, true},
+		"refusal without an id":     {ok, refusal, false},
+		"misdirected without an id": {ok, "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n", false},
+		"answer without an id":      {ok, "HTTP/1.1 200 OK\r\nCitrontray-Stamp: s\r\nContent-Length: 2\r\n\r\nok", false},
+		"cut answer":                {ok, "HTTP/1.1 200 OK\r\nCitrontray-Request: ID\r\nContent-Length: 90\r\n\r\nok", false},
+		"without a length":          {ok, "HTTP/1.1 200 OK\r\nCitrontray-Request: ID\r\n\r\nok", false},
+		"no answer at all":          {ok, "ok", false},
+		"end of another":            {ok, "\r\n\r\n", false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := listenTo(t, func(c net.Conn) {
+				defer func() { _ = c.Close() }()
+				br := bufio.NewReader(c)
+				earlier := ""
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					id, answer := r.Header.Get(target.HeaderRequest), test.first
+					if earlier != "" {
+						answer = strings.ReplaceAll(test.copy, "ID", earlier) + ok
+					}
+					if _, err := io.WriteString(c, strings.ReplaceAll(answer, "ID", id)); err != nil {
+						return
+					}
+					earlier = id
+				}
+			})
+			p.Do(context.Background(), namedRequest("r-1"), time.Now())
+			result := p.Do(context.Background(), namedRequest("r-2"), time.Now())
+			switch r := result.(type) {
+			case forward.Answered:
+				assert.Assert(t, test.own)
+				assert.Equal(t, string(r.Body), "ok")
+			case forward.Uncertain:
+			default:
+				t.Fatalf("%T %+v", result, result)
+			}
+			assert.Equal(t, p.Open(), 0)
+		})
+	}
+}
--- a/internal/owner/core_test.go
+++ b/internal/owner/core_test.go
@@ -348,3 +348,47 @@
 		})
 	}
 }
+
+// TestAnsweredTwice: where answers to orders came twice, no range that was granted
+// over that connection is released before its owner has answered a higher fence:
+// the grant that it seemed to answer may yet arrive.
+func TestAnsweredTwice(t *testing.T) {
+	d := newDriver(3)
+	d.run(3 * time.Second)
+	var granted SendGrants
+	for end := d.now.Add(5 * time.Second); granted.Target == "" && d.now.Before(end); d.now = d.now.Add(20 * time.Millisecond) {
+		d.Lease(d.now.Add(d.cfg.Lease))
+		for _, e := range d.Tick(d.now) {
+			if g, ok := e.(SendGrants); ok && granted.Target == "" {
+				granted = g
+				continue
+			}
+			d.do(e)
+		}
+	}
+	assert.Assert(t, granted.Target != "")
+	var before target.Fence
+	for _, r := range d.rows {
+		if r.Target == granted.Target {
+			before = max(before, r.fence)
+		}
+	}
+	// Another range of the owner was granted over the connection as well.
+	d.rows = append(d.rows, &row{
+		Row: Row{Range: d.rows[0].Range, Target: granted.Target, Born: 1}, state: held, served: true,
+		conn: granted.Conn, fence: before, acked: before, end: d.now.Add(time.Hour), sure: d.now.Add(time.Hour),
+	})
+	beside := d.rows[len(d.rows)-1]
+	results := make([]error, len(granted.Grants))
+	for i := range results {
+		results[i] = target.ErrNotSent
+	}
+	results[0] = target.ErrTwice
+	d.Granted(d.now, granted, results)
+	assert.Assert(t, !d.releasable(beside))
+	d.leave(d.now, beside, "", "test")
+	d.run(100 * time.Millisecond) // the next grants are sent after 200 ms
+	assert.Equal(t, beside.state, leaving)
+	d.run(time.Second)
+	assert.Assert(t, beside.state != leaving)
+}
--- a/internal/owner/move.go
+++ b/internal/owner/move.go
@@ -213,6 +213,9 @@
 			failed = true
 		case errors.Is(err, target.ErrNotSent), errors.Is(err, target.ErrRejected):
 			failed = true
+		case errors.Is(err, target.ErrTwice):
+			failed, doubtful = true, true
+			c.doubt(now, e)
 		default:
 			failed, doubtful = true, true
 			c.unanswered(now, e, e.Grants[i])
@@ -279,6 +282,17 @@
 	})
 }
 
+// doubt notes that answers on a connection may have been to other orders than
+// they were taken for: no grant that was sent over it counts as answered.
+func (c *Core) doubt(now time.Time, e SendGrants) {
+	for _, r := range c.rows {
+		if r.Target == e.Target && r.conn == e.Conn {
+			r.lost = max(r.lost, r.fence)
+			r.end = later(r.end, now.Add(c.cfg.longest()))
+		}
+	}
+}
+
 // fenced notes that a target has seen a higher fence. Only a lead of a later
 // term has one; until the store says so, this one tries on with its own.
 func (c *Core) fenced(now time.Time, e SendGrants, g target.Grant) {
--- a/internal/target/order.go
+++ b/internal/target/order.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -47,6 +48,9 @@
 	// ErrUnanswered is returned where the order may have taken effect, or may
 	// take effect later.
 	ErrUnanswered = errors.New("target: order not answered")
+	// ErrTwice tells that an answer came more than once. Answers do not say which order they
+	// are to, so all orders on the connection count as unanswered.
+	ErrTwice = fmt.Errorf("%w: answers came twice", ErrUnanswered)
 )
 
 // Orders opens connections for orders to targets that own ranges.
