A panic ends what it was doing, not the process; fuzz targets for what hosts and the platform send

What other operators met: one malformed message or unexpected error took a process down. Here a panic in any goroutine did.

--- /dev/null
+++ b/internal/dispatch/codec_test.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/place"
+)
+
+// oneTarget is a Catalog with one target in each pool, and Homes with one host.
+type oneTarget struct{}
+
+func (oneTarget) Members(PoolID) []place.TargetRow {
+	return []place.TargetRow{{Target: "t", Service: "s", Zone: "z", State: place.Live, Addr: netip.MustParseAddrPort("10.0.0.1:1"), Slots: 3}}
+}
+
+func (oneTarget) Ranked(PoolID) []place.Host { return []place.Host{"self"} }
+
+// FuzzMessage: no datagram makes the decoder or a home that takes it panic.
+func FuzzMessage(f *testing.F) {
+	pool := PoolID{Service: "s", Zone: "z", Target: "t"}
+	for _, m := range []Message{
+		Ask{ID: 1, Pool: pool, Class: "c", Left: time.Second, Aim: time.Second, Tried: nil},
+		Placed{ID: 1, Target: "t", Addr: netip.MustParseAddrPort("10.0.0.1:1")},
+		Queued{ID: 1},
+		Refused{ID: 1, RetryAfter: time.Second, Reason: ReasonFull},
+		Done{ID: 1, Pool: pool, Target: "t", Class: "c", End: EndServed, Took: time.Second},
+		Cancel{ID: 1, Pool: pool},
+		Report{First: 1, Last: 9, Held: []Held{{ID: 2, Pool: pool, Target: "t", Class: "c", Since: time.Second}}},
+		Ping{},
+		Pong{},
+		Leave{},
+	} {
+		body, err := Encode(Peer{Host: "h", Life: 1, Zone: "z"}, m)
+		assert.NilError(f, err)
+		f.Add(body)
+		f.Add(body[:len(body)/2])
+	}
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		from, m, err := Decode(body)
+		if err != nil {
+			return
+		}
+		home, client := NewHome(oneTarget{}), NewClient(oneTarget{})
+		now := time.Unix(1000, 0)
+		for range 2 {
+			home.Handle(now, from, m)
+			client.Hear(now, from.Host, m)
+			now = now.Add(time.Second)
+			home.Tick(now)
+			client.Tick(now)
+			client.Flush()
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/codec_test.go
@@ -0,0 +1,27 @@
+package fleet
+
+import (
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/place"
+)
+
+// FuzzDoc: no document makes the decoder panic; what it takes can be written again.
+func FuzzDoc(f *testing.F) {
+	d := Doc{Targets: []place.TargetRow{{Target: "t", Service: "s", Zone: "z", State: place.Live, Addr: netip.MustParseAddrPort("10.0.0.1:1"), Slots: 3, Born: 7}}}
+	body, err := d.Encode()
+	assert.NilError(f, err)
+	f.Add(body)
+	f.Add(body[:len(body)/2])
+	f.Fuzz(func(t *testing.T, body []byte) {
+		d, err := Decode(body)
+		if err != nil {
+			return
+		}
+		_, err = d.Encode()
+		assert.NilError(t, err)
+	})
+}
--- /dev/null
+++ b/internal/host/codec_test.go
@@ -0,0 +1,30 @@
+package host
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/dispatch"
+	"citrontray.example/citrontray/internal/key"
+)
+
+// FuzzDatagram: no datagram between hosts makes a decoder panic. Those of tickets
+// and presences have fuzz targets where they are decoded.
+func FuzzDatagram(f *testing.F) {
+	report := loadReport{service: "s", points: map[key.Point]int{5: 2}, lanes: []dispatch.Opinion{{Target: "t", Mean: time.Second, Slow: 1, Used: true, Requests: 9}}}
+	body, err := report.encode()
+	assert.NilError(f, err)
+	f.Add(body)
+	n := notice{kind: noticeLeads, service: "s", host: "h", life: 3, term: 4}
+	body, err = n.encode()
+	assert.NilError(f, err)
+	f.Add(body)
+	f.Add(body[:len(body)/2])
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		// What can't be read is dropped; the errors are logged.
+		_, _ = decodeReport(body)
+		_, _ = decodeNotice(body)
+	})
+}
--- a/internal/host/desk.go
+++ b/internal/host/desk.go
@@ -35,6 +35,8 @@
 	// address returns where a host takes messages now.
 	address func(place.Host) (netip.AddrPort, bool)
 	catalog func() dispatch.Catalog
+	// guard runs what a datagram wants, and reports whether it came to its end.
+	guard func(part string, f func()) bool
 	// others take the datagrams that are not tickets, by their first byte.
 	others map[byte]func(body []byte)
 
@@ -80,10 +82,21 @@
 			}
 			return fmt.Errorf("tickets: %w", err)
 		}
-		d.take(time.Now(), netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buffer[:n])
+		d.takeGuarded(time.Now(), netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buffer[:n])
 	}
 }
 
+// takeGuarded takes a datagram. One that makes a part panic ends with what the
+// homes here knew: hosts report within moments what they have in use.
+func (d *desk) takeGuarded(now time.Time, source netip.AddrPort, body []byte) {
+	if d.guard("datagram", func() { d.take(now, source, body) }) {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.home = dispatch.NewHome(d)
+}
+
 // loop lets time pass until ctx ends.
 func (d *desk) loop(ctx context.Context) error {
 	timer := time.NewTimer(0)
--- a/internal/host/fixture_test.go
+++ b/internal/host/fixture_test.go
@@ -138,7 +138,13 @@
 	d.store.Set(platform.PathConfig, []byte(text))
 }
 
+// panicking is a configuration that makes its decoder panic.
+const panicking = "panic"
+
 func (d *deployment) decodeConfig(body []byte) (*traffic.Config, error) {
+	if string(body) == panicking {
+		panic("told to")
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if c := d.configs[string(body)]; c != nil {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -139,6 +139,7 @@
 	}
 	self := dispatch.Peer{Host: h.site.Host, Life: h.life, Zone: h.site.Zone}
 	h.desk = newDesk(self, conn, h.log, h)
+	h.desk.guard = h.guard
 	h.desk.address = h.ticketAddress
 	h.desk.others = map[byte]func([]byte){
 		datagramReport: h.heardReport, datagramNotice: h.heardNotice, datagramReading: h.heardReading, datagramPresence: h.heardPresence,
@@ -241,9 +242,28 @@
 	return err
 }
 
+// guard runs f and reports whether it came to its end; one that panics is logged
+// and counted.
+func (h *Host) guard(part string, f func()) (ended bool) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			h.panicked(part, cause)
+		}
+	}()
+	f()
+	return true
+}
+
+// panicked notes that a part of this process panicked, and goes on without what it
+// was doing.
+func (h *Host) panicked(part string, cause any) {
+	h.metrics.panicked(part)
+	journal.Panicked(h.log, part, cause)
+}
+
 // loopViews puts newer views in force.
 func (h *Host) loopViews(ctx context.Context) error {
-	changed := h.board.Subscribe("")
+	published := h.board.Subscribe("")
 	lives := make(map[place.Host]place.Incarnation)
 	lists := uint64(0)
 	const expiry = 250 * time.Millisecond
@@ -251,7 +271,9 @@
 	defer ticker.Stop()
 	for {
 		now := time.Now()
-		if h.viewer.refresh(now) {
+		changed := false
+		h.guard("view", func() { changed = h.viewer.refresh(now) })
+		if changed {
 			v := h.viewer.view()
 			if h.admin != nil {
 				h.admin.SetReady(v.usable() && !h.stopping.Load())
@@ -268,7 +290,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-changed:
+		case <-published:
 		case <-ticker.C:
 		}
 	}
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -90,6 +90,15 @@
 	}).Inc(1)
 }
 
+// panicked counts a part of the process that panicked.
+func (m *metrics) panicked(part string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	kept(m.counters, metricID{"panics", "", part, ""}, func() tally.Counter {
+		return m.registry.Tagged(map[string]string{"part": part}).Counter("panics")
+	}).Inc(1)
+}
+
 // noted counts a decision of a lead by its text.
 func (m *metrics) noted(service key.Service, text string) {
 	m.mu.Lock()
--- a/internal/host/runner.go
+++ b/internal/host/runner.go
@@ -157,12 +157,14 @@
 			}
 			return nil
 		case f := <-r.events:
-			if !r.take(f) {
+			due := false
+			r.guard(func() { due = r.take(f) })
+			if !due {
 				continue
 			}
 		case <-ticker.C:
 		}
-		r.step(ctx, clock.Now())
+		r.guard(func() { r.step(ctx, clock.Now()) })
 		if r.core.Leading() {
 			ticker.Reset(leadTick)
 		} else {
@@ -232,6 +234,17 @@
 	}
 }
 
+// guard runs f. Where that panics, this host gives up the lead: what it knew may
+// be half changed, and the next lead starts from the store.
+func (r *runner) guard(f func()) {
+	if r.host.guard("lead", f) {
+		return
+	}
+	r.core.Depose()
+	r.lease.drop()
+	r.leads.Store(false)
+}
+
 // step looks at what is due.
 func (r *runner) step(ctx context.Context, now time.Time) {
 	v := r.host.viewer.view()
--- a/internal/host/servers.go
+++ b/internal/host/servers.go
@@ -40,7 +40,7 @@
 		host: h,
 		front: ingress.New(ingress.Config{
 			Handler: h, Beside: h.mayRunBeside, Idle: h.idleTime,
-			HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, Log: h.log,
+			HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, Panicked: h.panicked, Log: h.log,
 		}),
 		ready: &http.Server{
 			Handler: http.HandlerFunc(h.serveReady), ReadHeaderTimeout: headerTimeout,
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -2,10 +2,7 @@
 
 import (
 	"bytes"
-	"fmt"
-	"log/slog"
 	"net/http"
-	"runtime/debug"
 	"strconv"
 	"time"
 )
@@ -57,8 +54,7 @@
 func (x *exchange) handle() {
 	defer func() {
 		if cause := recover(); cause != nil {
-			x.conn.server.cfg.Log.Error("Handler panicked, its request ends.", slog.String("cause", fmt.Sprint(cause)),
-				slog.String("stack", string(debug.Stack())))
+			x.conn.server.cfg.Panicked("request", cause)
 			x.header, x.content, x.status = make(http.Header), nil, http.StatusInternalServerError
 		}
 	}()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -42,7 +42,9 @@
 	// first byte to its last.
 	HeaderBytes   int
 	HeaderTimeout time.Duration
-	Log           *slog.Logger
+	// Panicked is told where a handler panicked.
+	Panicked func(part string, cause any)
+	Log      *slog.Logger
 }
 
 // Server serves the connections of one listener.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -47,6 +47,7 @@
 	s.Server = New(Config{
 		Handler: s, Beside: func(r *http.Request) bool { return !strings.HasPrefix(r.URL.Path, "/alone") },
 		Idle: func() time.Duration { return idle }, HeaderBytes: 16 << 10, HeaderTimeout: head, Log: journal.Nop(),
+		Panicked: func(string, any) {},
 	})
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"crypto/x509"
+	"errors"
 	"log/slog"
 	"time"
 
 	"github.com/quic-go/quic-go"
+
+	"citrontray.example/citrontray/internal/journal"
 )
 
 // session is one open connection.
@@ -111,7 +114,7 @@
 	}
 	ctx, cancel := context.WithTimeout(m.stream.Context(), req.timeout)
 	defer cancel()
-	body, err := m.session.owner.answer(ctx, m.session.identity, req)
+	body, err := m.answer(ctx, req)
 	if err != nil && ctx.Err() != nil {
 		// The caller is about to give up too: an error text that wins that
 		// race by a moment would look like a decision of the handler.
@@ -130,6 +133,20 @@
 	}
 }
 
+// answer runs the handler. One that panics ends its message alone.
+func (m *message) answer(ctx context.Context, req request) (body []byte, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			journal.Panicked(m.session.owner.log, "message", cause)
+			body, err = nil, errPanicked
+		}
+	}()
+	return m.session.owner.answer(ctx, m.session.identity, req)
+}
+
+// errPanicked is the answer to a message whose handler panicked.
+var errPanicked = errors.New("peer: handler failed")
+
 func (p *Peer) answer(ctx context.Context, from Identity, req request) ([]byte, error) {
 	p.mu.Lock()
 	handler := p.handlers[req.kind]
