A move waits for a sign of the store, and a range goes back before the lease ends

A range was released after the store had gone out; its new owner could not be recorded, and at 0.8 s, when it would have gone back, the lease had just ended. It had no owner for the rest of the outage.

Ruled out: giving a range back while its write may have taken effect (a successor would go by the document).

Now a release waits for a renewal of the lease that was sent after the move was decided (asked for at once, beside the 80 ms that a table takes); without one in 0.3 s the range stays. A refused write, or the end of the lease in 100 ms, gives a released range back at once.

--- a/internal/host/campaign.go
+++ b/internal/host/campaign.go
@@ -151,7 +151,7 @@
 func (r *runner) newLease() *lease {
 	l := &lease{work: &r.work, keeper: keeper{
 		store: r.host.env.Store, log: r.log.With(slog.String("entry", "lead")),
-		ttl: max(leaseTTL, r.host.site.Bounds.SessionMin), every: leaseKeep, again: leaseAgain,
+		ttl: max(leaseTTL, r.host.site.Bounds.SessionMin), every: leaseKeep, again: leaseAgain, due: make(chan struct{}, 1),
 	}}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	return l
--- a/internal/host/keeper.go
+++ b/internal/host/keeper.go
@@ -30,11 +30,22 @@
 	// again the pause after one that failed.
 	ttl, every, again time.Duration
 
+	// due has a token where the next renewal should not wait.
+	due chan struct{}
+
 	mu      sync.Mutex
 	session session
 	failing bool
 }
 
+// hurry has the session renewed at once, unless that is being done.
+func (k *keeper) hurry() {
+	select {
+	case k.due <- struct{}{}:
+	default:
+	}
+}
+
 // current returns the session; it has lapsed where now is past its end.
 func (k *keeper) current() session {
 	k.mu.Lock()
@@ -94,7 +105,13 @@
 		sleep(ctx, k.again)
 		return
 	}
-	sleep(ctx, k.every)
+	timer := time.NewTimer(k.every)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-k.due:
+	}
 }
 
 // run renews the session until it or ctx ends.
--- a/internal/host/runner.go
+++ b/internal/host/runner.go
@@ -50,6 +50,9 @@
 	// written; a write takes some 10 ms, half a second where the store is slow
 	// and another write comes first.
 	reclaimAfter = 800 * time.Millisecond
+	// confirmTime is how long a move waits for the store to renew the lease. Requests
+	// for the range wait meanwhile, for up to 0.4 of their time.
+	confirmTime = 300 * time.Millisecond
 	// gatherTime is how long a free range waits for others to be written with.
 	// At 100 ms a grown day writes a fifth less and refuses for want of an owner
 	// a fifth more, which costs more.
@@ -138,7 +141,7 @@
 			Right: renewRight, Lease: max(leaseTTL, h.site.Bounds.SessionMin),
 			Plan: planBounds, PlanEvery: planInterval, LevelMost: levelInterval, First: firstGrant,
 			Publish: publishInterval, Pace: publishPace, Warn: releaseNotice,
-			Gather: gatherTime, Settle: settleTime, Fresh: freshLease, Reclaim: reclaimAfter,
+			Gather: gatherTime, Settle: settleTime, Fresh: freshLease, Confirm: confirmTime, Reclaim: reclaimAfter,
 		}),
 		started:  clock.Now(),
 		events:   make(chan func(time.Time) bool, 256),
@@ -386,6 +389,8 @@
 			t := &writeTask{runner: r, effect: e, leadRevision: r.leadRevision}
 			r.work.Add(1)
 			go t.run(ctx)
+		case owner.RenewLease:
+			r.lease.hurry()
 		case owner.Publish:
 			r.publish(e.Table)
 		case owner.Note:
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -48,6 +48,10 @@
 	// Fresh is how recent the last renewal of the lease must be for moves to
 	// begin: a range that is released while the store is away waits for it.
 	Fresh time.Duration
+	// Confirm is how long a range that shall move waits for a renewal of the lease
+	// that was sent after that was decided: a range that is released and whose new
+	// owner can't be written has none until the store is back.
+	Confirm time.Duration
 	// Reclaim is how long a released range waits for its new owner to be
 	// written before it goes back to the old one.
 	Reclaim time.Duration
@@ -96,6 +100,9 @@
 	Expect platform.Revision
 }
 
+// RenewLease wants the lease renewed at once, as a sign that the store answers.
+type RenewLease struct{}
+
 // Publish puts a table in force.
 type Publish struct{ Table *Table }
 
@@ -113,6 +120,7 @@
 func (SendGrants) effect()  {}
 func (SendRelease) effect() {}
 func (WriteDoc) effect()    {}
+func (RenewLease) effect()  {}
 func (Publish) effect()     {}
 func (Note) effect()        {}
 
@@ -174,6 +182,8 @@
 	pending *Doc
 	// refused is when the store last took no write.
 	refused time.Time
+	// confirming is when a renewal of the lease was last asked for.
+	confirming time.Time
 	// stragglers is until when leads before this one may renew; it has passed
 	// where they have ended.
 	stragglers time.Time
@@ -271,9 +281,12 @@
 
 // Fresh reports whether the store has renewed the lease a moment ago.
 func (c *Core) Fresh(now time.Time) bool {
-	return now.Before(c.leaseEnd.Add(c.cfg.Fresh - c.cfg.Lease))
+	return now.Before(c.renewed().Add(c.cfg.Fresh))
 }
 
+// renewed returns when the last renewal that the store answered was sent.
+func (c *Core) renewed() time.Time { return c.leaseEnd.Add(-c.cfg.Lease) }
+
 // Idle reports whether no order and no write is on its way.
 func (c *Core) Idle() bool {
 	if c.pending != nil {
@@ -412,6 +425,7 @@
 				c.coalesce()
 				c.plan(now)
 			}
+			c.confirm(now)
 			c.write(now)
 		}
 		if now.Before(c.leaseEnd.Add(c.cfg.Right)) {
--- a/internal/owner/core_test.go
+++ b/internal/owner/core_test.go
@@ -21,7 +21,7 @@
 		Service: "s", Host: "h", Life: 1, Hold: 4 * time.Second, Renew: time.Second, Order: 600 * time.Millisecond,
 		Right: 8 * time.Second, Lease: 1800 * time.Millisecond, PlanEvery: 200 * time.Millisecond, First: 800 * time.Millisecond,
 		Plan: partition.Config{Moves: 12, Spans: 6, Imbalance: 0.25, Gap: 0.15}, Settle: time.Second,
-		Fresh: 900 * time.Millisecond, Reclaim: 400 * time.Millisecond,
+		Fresh: 900 * time.Millisecond, Confirm: 300 * time.Millisecond, Reclaim: 400 * time.Millisecond,
 	}
 }
 
@@ -67,6 +67,10 @@
 	refused int
 	// conn is the last connection of grants to each target.
 	conn map[place.Target]uint64
+	// away tells that the store renews no lease, hangs that it answers no write, and
+	// work that targets answer no release while work runs there.
+	away, hangs, work bool
+	pending           []Effect
 	// silent answers no order.
 	silent place.Target
 	tables []*Table
@@ -85,13 +89,24 @@
 // run lets time pass with a lease that is renewed.
 func (d *driver) run(span time.Duration) {
 	for end := d.now.Add(span); d.now.Before(end); d.now = d.now.Add(20 * time.Millisecond) {
-		d.Lease(d.now.Add(d.cfg.Lease))
+		if !d.away {
+			d.Lease(d.now.Add(d.cfg.Lease))
+		}
 		for _, e := range d.Tick(d.now) {
 			d.do(e)
 		}
 	}
 }
 
+// settle answers all that was held back.
+func (d *driver) settle() {
+	held := d.pending
+	d.work, d.hangs, d.pending = false, false, nil
+	for _, e := range held {
+		d.do(e)
+	}
+}
+
 func (d *driver) do(e Effect) {
 	switch e := e.(type) {
 	case SendGrants:
@@ -104,9 +119,17 @@
 		}
 		d.Granted(d.now, e, results)
 	case SendRelease:
+		if d.work {
+			d.pending = append(d.pending, e)
+			return
+		}
 		d.Released(d.now, e, "token", nil)
 	case WriteDoc:
-		if d.refuse {
+		if d.hangs {
+			d.pending = append(d.pending, e)
+			return
+		}
+		if d.refuse || d.away {
 			d.refused++
 			d.NotWritten(d.now, e)
 			return
@@ -146,6 +169,104 @@
 	}
 }
 
+// TestMoveMeetsOutage: a range whose move meets an outage of the store is served by
+// the owner that the document names, soon after and until the right to renew ends.
+// What is looked at is a range that the balance moves.
+func TestMoveMeetsOutage(t *testing.T) {
+	const without = 900 * time.Millisecond // Warn, Confirm or Reclaim, and tables
+	for name, test := range map[string]struct {
+		// until lets the move come to the point at which the store goes away.
+		until func(d *driver)
+	}{
+		"before the plan": {func(*driver) {}},
+		"between plan and release": {func(d *driver) {
+			d.runUntil(func() bool { return d.count(leaving) > 0 })
+		}},
+		"between release and record": {func(d *driver) {
+			d.work = true
+			d.runUntil(func() bool { return d.count(releasing) > 0 })
+		}},
+		"late in the lease": {func(d *driver) {
+			d.work = true
+			d.runUntil(func() bool { return d.count(releasing) > 0 })
+			d.away = true
+			d.run(d.cfg.Lease - 150*time.Millisecond)
+		}},
+		"while the write is on its way": {func(d *driver) {
+			d.hangs = true
+			d.runUntil(func() bool { return d.count(writing) > 0 })
+		}},
+		"between record and grant": {func(d *driver) {
+			d.runUntil(func() bool { return d.noted("New owner recorded.") > 2 })
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(2)
+			d.cfg.Warn, d.cfg.Publish = 80*time.Millisecond, time.Second
+			d.run(3 * time.Second)
+			d.skew()
+			test.until(d)
+			d.away = true
+			d.settle()
+			served := d.now
+			for end := d.now.Add(d.cfg.Right); d.now.Before(end); {
+				d.run(20 * time.Millisecond)
+				if d.served() {
+					served = d.now
+				}
+				assert.Assert(t, d.now.Sub(served) < without, "a range has had no owner for %v", d.now.Sub(served))
+			}
+		})
+	}
+}
+
+// skew makes the first range far busier than all others.
+func (d *driver) skew() {
+	var meter partition.Meter
+	for p := range d.tables[len(d.tables)-1].Spans[0].Range.Last {
+		meter.Add(d.now, p, 1)
+	}
+	meter.Fade(d.now)
+	var load partition.Load
+	meter.Load(d.now, &load, 20*time.Microsecond)
+	d.Load(&load, nil, nil)
+}
+
+// runUntil lets time pass until something has happened.
+func (d *driver) runUntil(happened func() bool) {
+	for range 200 {
+		if happened() {
+			return
+		}
+		d.run(20 * time.Millisecond)
+	}
+	panic("it never happened")
+}
+
+// count returns how many ranges are in a state, noted how often a text was noted.
+func (d *driver) count(s state) (out int) {
+	for _, r := range d.rows {
+		if r.state == s {
+			out++
+		}
+	}
+	return out
+}
+
+func (d *driver) noted(text string) (out int) {
+	for _, n := range d.notes {
+		if n.Text == text {
+			out++
+		}
+	}
+	return out
+}
+
+// served reports whether all ranges have an owner by the last table.
+func (d *driver) served() bool {
+	return !slices.ContainsFunc(d.tables[len(d.tables)-1].Spans, func(s Span) bool { return s.Target == "" })
+}
+
 // TestReleaseAfterTable: a range is released only after a table has told hosts
 // for a while to send nothing more to its owner.
 func TestReleaseAfterTable(t *testing.T) {
--- a/internal/owner/move.go
+++ b/internal/owner/move.go
@@ -141,7 +141,7 @@
 
 func (c *Core) release(now time.Time, r *row) {
 	l := c.lane(r.Target)
-	if now.Before(l.retryAt) || r.hidden.IsZero() || now.Sub(r.hidden) < c.cfg.Warn {
+	if now.Before(l.retryAt) || r.hidden.IsZero() || now.Sub(r.hidden) < c.cfg.Warn || !c.confirmed(r) {
 		return
 	}
 	c.releases++
@@ -152,6 +152,33 @@
 	})
 }
 
+// confirmAgain is the time between two wishes to have the lease renewed.
+const confirmAgain = 100 * time.Millisecond
+
+// confirm has the lease renewed where ranges wait to be released, and calls off
+// the moves of those that have waited for too long.
+func (c *Core) confirm(now time.Time) {
+	waiting := false
+	for _, r := range c.rows {
+		if r.state != leaving || c.confirmed(r) {
+			continue
+		}
+		waiting = true
+		if c.staying(r) && now.Sub(r.since) > c.cfg.Confirm && now.Before(r.sure) {
+			c.note(now, "Range stays, the store does not answer.", r, r.to)
+			r.state, r.to, r.since, r.served = held, "", now, true
+			c.changed, c.reclaimed = true, now
+		}
+	}
+	if waiting && now.Sub(c.confirming) >= confirmAgain {
+		c.confirming = now
+		c.emit(RenewLease{})
+	}
+}
+
+// confirmed reports whether the store has answered since a move was decided.
+func (c *Core) confirmed(r *row) bool { return !c.renewed().Before(r.since) }
+
 // grant renews what a target holds, or gives it what is new.
 func (c *Core) grant(now time.Time, name place.Target, rows []*row) {
 	l := c.lane(name)
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -79,8 +79,7 @@
 				c.changed = true
 			}
 		case free:
-			// Without a lease, another lead may have given it away.
-			if r.released && now.Before(c.leaseEnd) && now.Sub(r.since) > c.cfg.Reclaim && c.usable(now, r.Target) {
+			if r.released && c.reclaimable(now, r) && c.usable(now, r.Target) {
 				c.reclaim(now, r)
 			}
 		case leaving, releasing, writing:
@@ -128,6 +127,19 @@
 	c.changed = true
 }
 
+// reclaimMargin is how long before the end of its lease a lead takes back what it
+// could not record elsewhere: without a lease, another lead may have given it away.
+const reclaimMargin = 100 * time.Millisecond
+
+// reclaimable reports whether a released range should go back to its owner: the
+// store has refused to record another one, or takes too long.
+func (c *Core) reclaimable(now time.Time, r *row) bool {
+	if !now.Before(c.leaseEnd) {
+		return false
+	}
+	return c.refused.After(r.since) || now.Sub(r.since) > c.cfg.Reclaim || now.After(c.leaseEnd.Add(-reclaimMargin))
+}
+
 // reclaim gives a released range back to its owner: the store does not take the
 // new one.
 func (c *Core) reclaim(now time.Time, r *row) {
--- a/internal/owner/worldhost_test.go
+++ b/internal/owner/worldhost_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -36,6 +37,8 @@
 	asked    bool
 	// conns are the connections for grants: each is to one life of a target.
 	conns map[place.Target]worldConn
+	// ticked is when it last ticked.
+	ticked time.Time
 }
 
 type worldConn struct {
@@ -71,10 +74,28 @@
 	h.run(life, func() {
 		h.step()
 		h.apply(h.core.Tick(h.w.now))
+		h.checkStranded()
+		h.ticked = h.w.now
 	})
 	h.w.after(h.w.span(15*time.Millisecond, 25*time.Millisecond), h.tick)
 }
 
+// checkStranded looks for ranges that a planned move has left without an owner at
+// the end of the lease: they have none until the store is back.
+func (h *worldHost) checkStranded() {
+	const steady = 50 * time.Millisecond // between two ticks of a host that is not frozen
+	c, now := h.core, h.w.now
+	ends := c.Leading() && h.ticked.Before(c.leaseEnd) && !now.Before(c.leaseEnd)
+	if !ends || now.Sub(h.ticked) > steady || c.stopping || c.pending != nil || h.w.broken != "" {
+		return
+	}
+	for _, r := range c.rows {
+		if r.state == free && r.released && c.usable(now, r.Target) && now.Sub(r.since) > reclaimMargin {
+			h.w.broken = fmt.Sprintf("%s has released %v and can't record another owner at %.3f s", h.name, r.Range, now.Sub(h.w.start).Seconds())
+		}
+	}
+}
+
 func (h *worldHost) reachesStore() bool { return !h.cutStore && !h.cutAll && !h.w.store.down }
 
 // step keeps the lease, looks at the store and campaigns.
@@ -256,7 +277,8 @@
 		case SendRelease:
 			h.sendRelease(e)
 		case WriteDoc:
-			h.write(e, h.life, h.leadRev)
+			h.write(&worldWrite{WriteDoc: e}, h.life, h.leadRev)
+		case RenewLease: // look renews it within moments
 		case Publish:
 		case Note:
 			h.w.note("%s %s %s %s>%s fence %d", h.name, e.Text, e.Range, e.From, e.To, e.Fence)
@@ -357,16 +379,33 @@
 	})
 }
 
+// worldWrite is a write on its way; sent tells that the store may have it.
+type worldWrite struct {
+	WriteDoc
+
+	sent bool
+}
+
 // write carries the document to the store until it is certain whether it is
 // there.
-func (h *worldHost) write(e WriteDoc, life place.Incarnation, leadRev platform.Revision) {
+func (h *worldHost) write(e *worldWrite, life place.Incarnation, leadRev platform.Revision) {
 	w := h.w
 	w.after(w.span(2*time.Millisecond, 20*time.Millisecond)+w.store.slow, func() {
 		s := &w.store
 		if !h.reachesStore() {
-			w.after(100*time.Millisecond, func() { h.run(life, func() { h.write(e, life, leadRev) }) })
+			refused := w.seed%2 == 0 && !e.sent && w.chance(0.5)
+			w.after(100*time.Millisecond, func() {
+				h.run(life, func() {
+					if refused {
+						h.core.NotWritten(w.now, e.WriteDoc)
+						return
+					}
+					h.write(e, life, leadRev)
+				})
+			})
 			return
 		}
+		e.sent = true
 		there := s.doc.Write == e.Doc.Write
 		valid := s.revision == e.Expect && s.leadRev == leadRev && w.now.Before(s.leadEnds)
 		if !there && valid {
@@ -382,10 +421,10 @@
 		w.after(w.span(2*time.Millisecond, 20*time.Millisecond), func() {
 			h.run(life, func() {
 				if there {
-					h.core.Written(w.now, e, revision)
+					h.core.Written(w.now, e.WriteDoc, revision)
 					return
 				}
-				h.core.Outrun(e)
+				h.core.Outrun(e.WriteDoc)
 			})
 		})
 	})
