Callers of shedding targets come back soon; a cut host sends its clients elsewhere

It now says that it is not ready and ends connections behind answers; the balancer has other zones. Hosts that were all killed, or targets that crash, do not look like a cut: TestReach.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -209,6 +209,12 @@
 	return ""
 }
 
+// Suspects reports whether a host leaves asks and pings unanswered.
+func (c *Client) Suspects(host place.Host) bool {
+	s := c.suspects[host]
+	return s != nil && !s.leaving
+}
+
 // Started tells that a host has started again: it may be a home.
 func (c *Client) Started(host place.Host) { delete(c.suspects, host) }
 
--- /dev/null
+++ b/internal/dispatch/reach_test.go
@@ -0,0 +1,65 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/place"
+)
+
+// TestReach: a host sends its clients elsewhere where a cut has left it with too
+// few targets, and for nothing else.
+func TestReach(t *testing.T) {
+	now := time.Unix(1000, 0)
+	whole := map[place.Zone]Zone{"a": {Targets: 10, Hosts: 4}, "b": {Targets: 10, Hosts: 4}, "c": {Targets: 10, Hosts: 4}}
+	suspects := func(n map[place.Zone]int) map[place.Zone]Zone {
+		out := make(map[place.Zone]Zone)
+		for name, z := range whole {
+			z.Suspects = n[name]
+			out[name] = z
+		}
+		return out
+	}
+	for name, test := range map[string]struct {
+		zones  map[place.Zone]Zone
+		failed []place.Zone
+		heard  map[place.Zone]time.Duration
+		want   bool
+	}{
+		"nothing is wrong":                {zones: whole},
+		"both other zones cut":            {suspects(map[place.Zone]int{"b": 2, "c": 3}), []place.Zone{"b", "c"}, nil, true},
+		"one of two other zones cut":      {suspects(map[place.Zone]int{"b": 4}), []place.Zone{"b"}, nil, false},
+		"hosts there are killed":          {suspects(map[place.Zone]int{"b": 4, "c": 4}), nil, nil, false},
+		"targets there crash":             {whole, []place.Zone{"b", "c"}, nil, false},
+		"one host of each zone is silent": {suspects(map[place.Zone]int{"b": 1, "c": 1}), []place.Zone{"b", "c"}, nil, false},
+		"a host is heard again": {
+			suspects(map[place.Zone]int{"b": 2, "c": 2}), []place.Zone{"b", "c"}, map[place.Zone]time.Duration{"c": 100 * time.Millisecond}, false,
+		},
+		"heard before the cut": {
+			suspects(map[place.Zone]int{"b": 2, "c": 2}), []place.Zone{"b", "c"}, map[place.Zone]time.Duration{"b": time.Second, "c": zoneSilence}, true,
+		},
+		"zones of one host": {
+			map[place.Zone]Zone{"a": {Targets: 1, Hosts: 1}, "b": {Targets: 1, Hosts: 1, Suspects: 1}, "c": {Targets: 1, Hosts: 1, Suspects: 1}},
+			[]place.Zone{"b", "c"}, nil, true,
+		},
+		"the own zone": {suspects(map[place.Zone]int{"a": 3}), []place.Zone{"a"}, nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := NewReach()
+			for zone, ago := range test.heard {
+				r.Hear(now.Add(-ago), zone)
+			}
+			for _, zone := range test.failed {
+				r.Try(zone, EndUnreachable)
+			}
+			assert.Equal(t, r.Suspect(), len(test.failed) > 0)
+			assert.Equal(t, r.Lost(now, "a", test.zones), test.want)
+			for _, zone := range test.failed {
+				r.Try(zone, EndServed) // the way is open again
+			}
+			assert.Assert(t, !r.Lost(now, "a", test.zones))
+		})
+	}
+}
--- a/internal/host/desk.go
+++ b/internal/host/desk.go
@@ -53,6 +53,7 @@
 	// learned are the addresses that hosts last wrote from: one that started
 	// while the store was away is in no list.
 	learned map[place.Host]netip.AddrPort
+	reach   *dispatch.Reach
 }
 
 // Members implements dispatch.Catalog by the view in force.
@@ -65,6 +66,7 @@
 		waits:  make(map[dispatch.TicketID]chan verdict),
 
 		learned: make(map[place.Host]netip.AddrPort),
+		reach:   dispatch.NewReach(),
 	}
 	d.home = dispatch.NewHome(d)
 	return d
@@ -165,6 +167,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.learned[from.Host] = source
+	d.reach.Hear(now, from.Zone)
 	d.handle(now, from, m)
 }
 
@@ -311,6 +314,38 @@
 	d.flush(now, nil)
 }
 
+// tried notes how an attempt at a target of a zone ended.
+func (d *desk) tried(zone place.Zone, end dispatch.End) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reach.Try(zone, end)
+}
+
+// cutOff reports whether a cut has left this host with too few targets to take
+// clients.
+func (d *desk) cutOff(now time.Time, v *view) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.reach.Suspect() {
+		return false
+	}
+	zones := make(map[place.Zone]dispatch.Zone)
+	for _, t := range v.targets {
+		z := zones[t.Zone]
+		z.Targets++
+		zones[t.Zone] = z
+	}
+	for _, m := range v.members.Hosts {
+		z := zones[m.Zone]
+		z.Hosts++
+		if d.client.Suspects(m.Name) {
+			z.Suspects++
+		}
+		zones[m.Zone] = z
+	}
+	return d.reach.Lost(now, d.self.Zone, zones)
+}
+
 // leave tells the hosts that this one stops.
 func (d *desk) leave(hosts []member.Host) {
 	d.mu.Lock()
--- a/internal/host/front.go
+++ b/internal/host/front.go
@@ -36,6 +36,9 @@
 	if id != "" {
 		w.Header()[http.CanonicalHeaderKey(h.names.Request)] = []string{id}
 	}
+	if h.cutOff(time.Now()) {
+		w.Header()["Connection"] = []string{"close"}
+	}
 	outcome.WriteFractional(w, result)
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -87,6 +87,8 @@
 	front    net.Listener
 	ready    net.Listener
 	stopping atomic.Bool
+	// cut tells that a cut keeps most targets from this host, by the last look.
+	cut atomic.Bool
 
 	mu      sync.Mutex
 	runners map[key.Service]*runner
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -249,6 +249,38 @@
 	}
 }
 
+// TestSheddingTargets: where targets turn away half of what they have room for, a
+// caller is told to come back while it can still be answered in its aim.
+func TestSheddingTargets(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1, 2, 0)
+	d.eventually("all keys are served", 15*time.Second, func() bool { return d.send(d.hosts[0], "GET", "/keys/x", 30000).status == http.StatusOK })
+	for _, r := range d.targets {
+		r.SetFaults(standin.RangedFaults{Work: 10 * time.Millisecond, Refuse: 0.5})
+	}
+	aim := testConfig(1).Routes[0].Aim
+	back, inAim := 0, 0
+	for i := range 250 {
+		start, point := time.Now(), key.Point(i*997%key.Points)
+		a := d.send(d.hosts[0], "GET", "/keys/x", point)
+		if a.status != http.StatusServiceUnavailable {
+			continue
+		}
+		after, err := time.ParseDuration(a.retry + "s")
+		assert.NilError(t, err)
+		time.Sleep(after)
+		if a = d.send(d.hosts[0], "GET", "/keys/x", point); a.status != http.StatusOK {
+			continue
+		}
+		back++
+		if time.Since(start) < aim/2 { // the network to a caller takes some as well
+			inAim++
+		}
+	}
+	assert.Assert(t, back > 20, "%d came back and were served", back)
+	assert.Assert(t, inAim > back*9/10, "%d of %d in time", inAim, back)
+}
+
 // lead returns the host that leads the ranged service.
 func (d *deployment) lead() *running {
 	d.t.Helper()
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -318,6 +318,7 @@
 		end = dispatch.EndUnused // the client has gone
 	}
 	h.desk.done(time.Now(), t.id, end, took)
+	h.desk.tried(h.viewer.view().targets[t.target].Zone, end)
 	j.last = t.target
 	if now := time.Now(); h.trust.learn(now, j.service.Name, result) {
 		h.log.Info("Target forgets idle connections, shorter ones are used.", slog.String("request", j.request.ID),
@@ -353,7 +354,7 @@
 
 // givenUp is the end of a request that may not be sent once more.
 func (j *job) givenUp() outcome.Result {
-	return outcome.NotRunFailure{Reason: outcome.Refused, RetryAfter: retryUnowned}
+	return outcome.NotRunFailure{Reason: outcome.Refused, RetryAfter: retryBusy}
 }
 
 const (
@@ -435,8 +436,9 @@
 	return again{j.wait(busyPause)}
 }
 
-// retryBusy is the hint after a target refused for want of room.
-const retryBusy = 100 * time.Millisecond
+// retryBusy is the hint after a target refused although its home counted a free
+// slot there: about one refusal in flight, as the next request may be taken.
+const retryBusy = 25 * time.Millisecond
 
 // endOf tells a home how an attempt ended.
 func endOf(result forward.Result) dispatch.End {
--- a/internal/host/servers.go
+++ b/internal/host/servers.go
@@ -82,15 +82,29 @@
 }
 
 // serveReady tells whether this host takes new connections: it has a
-// configuration and does not stop.
+// configuration, does not stop, and no cut keeps most targets from it.
 func (h *Host) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if h.stopping.Load() || !h.viewer.view().usable() {
+	if h.stopping.Load() || !h.viewer.view().usable() || h.cutOff(time.Now()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+// cutOff reports whether clients are better served by hosts beyond a cut. A change
+// is logged.
+func (h *Host) cutOff(now time.Time) bool {
+	cut := h.desk.cutOff(now, h.viewer.view())
+	if h.cut.Swap(cut) != cut {
+		if cut {
+			h.log.Warn("Most targets are beyond a cut, clients are sent elsewhere.")
+		} else {
+			h.log.Info("Most targets are within reach again.")
+		}
+	}
+	return cut
+}
+
 // usable reports whether requests can be served by the view.
 func (v *view) usable() bool { return v.routes != nil && len(v.targets) > 0 }
 
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -43,6 +43,9 @@
 	if x.body != nil && !x.body.finish() {
 		x.last = true // where the next request begins is not known
 	}
+	if x.header.Get("Connection") == "close" {
+		x.last = true // the client shall connect to another host
+	}
 	x.conn.mu.Lock()
 	x.answered = true
 	x.conn.over = x.conn.over || x.last
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -94,6 +94,8 @@
 			s.gone.Add(1)
 			return
 		}
+	case strings.HasPrefix(r.URL.Path, "/elsewhere"):
+		w.Header()["Connection"] = []string{"close"}
 	case strings.HasPrefix(r.URL.Path, "/panic"):
 		panic("told to")
 	}
@@ -423,6 +425,16 @@
 	assert.Assert(t, answered.Load() > 0)
 }
 
+// TestElsewhere: a handler that sends a client elsewhere ends the connection behind
+// its answer, and what the client has sent behind the request is not run.
+func TestElsewhere(t *testing.T) {
+	c := serve(t).dial()
+	c.send(get("/first") + get("/elsewhere") + post("/alone/behind", "x"))
+	assert.Assert(t, !c.want(http.StatusOK, "GET /first "))
+	assert.Assert(t, c.want(http.StatusOK, "GET /elsewhere "))
+	c.ends()
+}
+
 // streamed is the path of the requests of streams.
 const streamed = "/x"
 
