Targets' own words count: those that leave get nothing new, those that want a pause get none

A host keeps what each life of a target has asked (dispatch.Backoffs). During a pause callers get another target, wait where it is short, or are told when it ends. The header is not passed on.

TestTargetSaysItLeaves, TestTargetWantsPause, TestBackoffs.

--- /dev/null
+++ b/internal/dispatch/backoff_test.go
@@ -0,0 +1,56 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/target"
+)
+
+// TestBackoffs: what a target asks holds for its life and its time, and no longer.
+func TestBackoffs(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for name, test := range map[string]struct {
+		signals []target.Signal
+		after   time.Duration
+		born    place.Incarnation
+		leaving bool
+		pause   time.Duration
+	}{
+		"nothing asked":        {[]target.Signal{{}}, 0, 1, false, 0},
+		"a pause":              {[]target.Signal{{Pause: 3 * time.Second}}, time.Second, 1, false, 2 * time.Second},
+		"a pause that is over": {[]target.Signal{{Pause: 3 * time.Second}}, 3 * time.Second, 1, false, 0},
+		"the longer pause":     {[]target.Signal{{Pause: 3 * time.Second}, {Pause: time.Second}}, 0, 1, false, 3 * time.Second},
+		"leaving for good":     {[]target.Signal{{Leaving: true}, {}}, time.Minute, 1, true, 0},
+		"another life":         {[]target.Signal{{Leaving: true, Pause: time.Minute}}, 0, 2, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := NewBackoffs()
+			for _, s := range test.signals {
+				b.Note(start, "a", 1, s)
+			}
+			now := start.Add(test.after)
+			leaving, pause := b.Of(now, "a", test.born)
+			assert.Equal(t, !leaving.IsZero(), test.leaving)
+			assert.Equal(t, pause, test.pause)
+			rows := []place.TargetRow{{Target: "a", Born: test.born}, {Target: "b", Born: 1}}
+			assert.Equal(t, len(b.Excluded(now, rows)) > 0, test.leaving || test.pause > 0)
+		})
+	}
+}
+
+// TestDrainToldAgain: homes are told again that a target leaves, but not in each
+// answer.
+func TestDrainToldAgain(t *testing.T) {
+	b, now, told := NewBackoffs(), time.Unix(1000, 0), 0
+	for range 100 {
+		if b.Note(now, "a", 1, target.Signal{Leaving: true}) {
+			told++
+		}
+		now = now.Add(drainAgain / 20)
+	}
+	assert.Equal(t, told, 5)
+}
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -168,7 +168,7 @@
 	case Leave:
 		c.suspects[from] = &suspect{since: now, leaving: true}
 		c.reported = time.Time{} // its tickets go to the next home at once
-	case Ask, Done, Cancel, Report, Ping, Pong:
+	case Ask, Done, Drain, Cancel, Report, Ping, Pong:
 		// A Pong has said all by arriving; the others are for homes.
 	}
 }
@@ -201,6 +201,12 @@
 	c.deliver(h.home, Done{ID: id, Pool: h.Pool, Target: h.Target, Class: h.Class, End: end, Took: took})
 }
 
+// Drain tells the home of a pool that a target there leaves.
+func (c *Client) Drain(pool PoolID, name place.Target) {
+	home, _ := c.home(pool)
+	c.deliver(home, Drain{Pool: pool, Target: name})
+}
+
 // Class returns the class of a ticket in use.
 func (c *Client) Class(id TicketID) traffic.RouteName {
 	if h := c.held[id]; h != nil {
--- a/internal/dispatch/codec.go
+++ b/internal/dispatch/codec.go
@@ -26,6 +26,7 @@
 	kindPing
 	kindPong
 	kindLeave
+	kindDrain
 )
 
 // wireMessage is any message: each kind uses some of the fields. Durations are
@@ -105,6 +106,8 @@
 	case Done:
 		w.Kind, w.ID, w.Pool, w.Target, w.Class = kindDone, uint64(m.ID), poolToWire(m.Pool), string(m.Target), string(m.Class)
 		w.Code, w.Left = uint8(m.End), micros(m.Took)
+	case Drain:
+		w.Kind, w.Pool, w.Target = kindDrain, poolToWire(m.Pool), string(m.Target)
 	case Cancel:
 		w.Kind, w.ID, w.Pool = kindCancel, uint64(m.ID), poolToWire(m.Pool)
 	case Report:
@@ -156,6 +159,8 @@
 			ID: id, Pool: w.Pool.pool(), Target: place.Target(w.Target), Class: traffic.RouteName(w.Class),
 			End: End(w.Code), Took: duration(w.Left),
 		}, nil
+	case kindDrain:
+		return Drain{Pool: w.Pool.pool(), Target: place.Target(w.Target)}, nil
 	case kindCancel:
 		return Cancel{ID: id, Pool: w.Pool.pool()}, nil
 	case kindReport:
--- a/internal/dispatch/home.go
+++ b/internal/dispatch/home.go
@@ -118,6 +118,8 @@
 		h.done(now, from, m)
 	case Cancel:
 		h.cancel(from, m)
+	case Drain:
+		h.drain(now, m)
 	case Report:
 		h.report(now, from, m)
 	case Ping:
@@ -309,6 +311,17 @@
 	}
 }
 
+// drain notes that a target leaves. Requests to a pool with others go to those from
+// now on; what a single target owns stays there until its lead has moved it.
+func (h *Home) drain(now time.Time, d Drain) {
+	p := h.pool(now, d.Pool)
+	if l := p.lanes[d.Target]; l != nil {
+		l.leaving = true
+		l.usable = l.usable && d.Pool.Target != ""
+		h.run(now, p)
+	}
+}
+
 func (h *Home) drop(key ticketKey, p *pool) {
 	delete(h.waiting, key)
 	for i, w := range p.waiting {
@@ -371,6 +384,8 @@
 	Requests float64
 	// Down tells that it takes no connections.
 	Down bool
+	// Leaving tells that it has said that it leaves.
+	Leaving bool
 	// Used tells whether anything went there lately.
 	Used bool
 }
@@ -383,7 +398,7 @@
 		for _, l := range p.order {
 			out = append(out, Opinion{
 				Pool: p.id, Target: l.Target, Mean: mean, Slow: l.factor(now), Requests: requests,
-				Down: l.downs >= downSure, Used: requests > 0 && now.Sub(l.judged) < opinionAge,
+				Down: l.downs >= downSure, Leaving: l.leaving, Used: requests > 0 && now.Sub(l.judged) < opinionAge,
 			})
 		}
 	}
--- a/internal/dispatch/lane.go
+++ b/internal/dispatch/lane.go
@@ -81,6 +81,8 @@
 	served time.Time
 	// usable is false for targets that get no new work.
 	usable bool
+	// leaving tells that this life of the target has said that it leaves.
+	leaving bool
 	// mark is that of the last asker that probably has a connection here.
 	mark uint64
 }
@@ -94,7 +96,7 @@
 // describe takes over what the platform says of the target.
 func (l *lane) describe(row place.TargetRow, now time.Time) {
 	if row.Born != l.Born || row.Addr != l.Addr {
-		l.slow, l.failing, l.downs, l.downUntil = 1, 0, 0, time.Time{}
+		l.slow, l.failing, l.downs, l.downUntil, l.leaving = 1, 0, 0, time.Time{}, false
 	}
 	if row.Warming > 0 {
 		l.warmAt = now.Add(row.Warming)
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -136,6 +136,12 @@
 	Took   time.Duration
 }
 
+// Drain tells that a target of the pool has said that it leaves.
+type Drain struct {
+	Pool   PoolID
+	Target place.Target
+}
+
 // Cancel takes a waiting ask back.
 type Cancel struct {
 	ID   TicketID
@@ -176,6 +182,7 @@
 func (Queued) message()  {}
 func (Refused) message() {}
 func (Done) message()    {}
+func (Drain) message()   {}
 func (Cancel) message()  {}
 func (Report) message()  {}
 func (Ping) message()    {}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -100,6 +100,7 @@
 		named[row.Target] = true
 		if l, ok := p.lanes[row.Target]; ok {
 			l.describe(row, now)
+			l.usable = l.usable && (!l.leaving || p.id.Target != "")
 			continue
 		}
 		p.lanes[row.Target] = newLane(row, now)
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -143,7 +143,7 @@
 	if refusal := resp.Header[target.HeaderNotRun]; len(refusal) == 1 {
 		return Refused{Refusal: target.Refusal(refusal[0]), Status: resp.StatusCode}
 	}
-	return Answered{outcome.Answer{Status: resp.StatusCode, Header: Forwardable(resp.Header), Body: body}}
+	return Answered{Answer: outcome.Answer{Status: resp.StatusCode, Header: Forwardable(resp.Header), Body: body}}
 }
 
 // end closes the body of an answer. Closing reads what is left of it, so a
--- a/internal/forward/named.go
+++ b/internal/forward/named.go
@@ -4,6 +4,9 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
+	"time"
 
 	"citrontray.example/citrontray/internal/outcome"
 	"citrontray.example/citrontray/internal/target"
@@ -118,7 +121,7 @@
 	}
 	c.broken = stale || resp.Close || !framed(resp) || c.br.Buffered() > 0
 	if refused(resp, r.Names) {
-		return Refused{Refusal: refusalOf(resp.StatusCode), Status: resp.StatusCode}
+		return Refused{Refusal: refusalOf(resp.StatusCode), Status: resp.StatusCode, Signal: signalOf(resp, r.Names)}
 	}
 	if resp.StatusCode < http.StatusMultipleChoices && r.Names.Stamp != "" && resp.Header.Get(r.Names.Stamp) == "" {
 		c.broken = true
@@ -128,7 +131,28 @@
 		c.broken = true
 		return Uncertain{Reason: outcome.AnswerBad, Err: errEncoded}
 	}
-	return Answered{outcome.Answer{Status: resp.StatusCode, Header: EndToEnd(resp.Header), Body: body}}
+	signal := signalOf(resp, r.Names)
+	resp.Header.Del(r.Names.Leaving) // it is for this hop
+	return Answered{outcome.Answer{Status: resp.StatusCode, Header: EndToEnd(resp.Header), Body: body}, signal}
+}
+
+// pauseMost bounds the pause that a target may ask for, in seconds: more is not
+// meant as one.
+const pauseMost = 24 * 60 * 60
+
+// signalOf reads what the target asks of this host. A Retry-After that is no number
+// of seconds asks for nothing.
+func signalOf(resp *http.Response, names *target.Names) target.Signal {
+	var s target.Signal
+	s.Leaving = names.Leaving != "" && resp.Header.Get(names.Leaving) == "1"
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		return s
+	}
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(resp.Header.Get("Retry-After")), 64)
+	if err == nil && seconds > 0 {
+		s.Pause = time.Duration(min(seconds, pauseMost) * float64(time.Second))
+	}
+	return s
 }
 
 // refusalOf returns what a refusal's status says.
--- a/internal/forward/result.go
+++ b/internal/forward/result.go
@@ -47,13 +47,18 @@
 type Result interface{ result() }
 
 // Answered is the whole answer to this very request.
-type Answered struct{ outcome.Answer }
+type Answered struct {
+	outcome.Answer
+
+	Signal target.Signal
+}
 
 // Refused tells that the target refused the request and did not run it.
 type Refused struct {
 	Refusal target.Refusal
 	// Status is the status of the refusal.
 	Status int
+	Signal target.Signal
 }
 
 // NotSent tells that no byte of the request left: it did not run.
--- a/internal/host/desk.go
+++ b/internal/host/desk.go
@@ -13,6 +13,7 @@
 	"citrontray.example/citrontray/internal/dispatch"
 	"citrontray.example/citrontray/internal/member"
 	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/target"
 )
 
 const (
@@ -54,6 +55,8 @@
 	// while the store was away is in no list.
 	learned map[place.Host]netip.AddrPort
 	reach   *dispatch.Reach
+	// backoffs are what targets have asked of this host.
+	backoffs *dispatch.Backoffs
 }
 
 // Members implements dispatch.Catalog by the view in force.
@@ -67,6 +70,8 @@
 
 		learned: make(map[place.Host]netip.AddrPort),
 		reach:   dispatch.NewReach(),
+
+		backoffs: dispatch.NewBackoffs(),
 	}
 	d.home = dispatch.NewHome(d)
 	return d
@@ -272,9 +277,10 @@
 }
 
 // refresh tells the homes that the view changed.
-func (d *desk) refresh(now time.Time) {
+func (d *desk) refresh(now time.Time, v *view) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.backoffs.Keep(now, func(name place.Target) bool { _, ok := v.targets[name]; return ok })
 	d.flush(now, d.home.Refresh(now))
 }
 
@@ -321,6 +327,34 @@
 	d.reach.Try(zone, end)
 }
 
+// heed takes what a target asks of this host in an answer, and reports whether the
+// home of its pool was told that it leaves.
+func (d *desk) heed(now time.Time, pool dispatch.PoolID, row place.TargetRow, s target.Signal) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	tell := d.backoffs.Note(now, row.Target, row.Born, s)
+	if tell {
+		d.client.Drain(pool, row.Target)
+		d.flush(now, nil)
+	}
+	return tell
+}
+
+// backoff returns since when a target has said that it leaves, zero if it has not,
+// and how much longer it wants no requests of this host.
+func (d *desk) backoff(now time.Time, row place.TargetRow) (leaving time.Time, pause time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.backoffs.Of(now, row.Target, row.Born)
+}
+
+// excluded returns the targets among rows that want no new request of this host.
+func (d *desk) excluded(now time.Time, rows []place.TargetRow) []place.Target {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.backoffs.Excluded(now, rows)
+}
+
 // cutOff reports whether a cut has left this host with too few targets to take
 // clients.
 func (d *desk) cutOff(now time.Time, v *view) bool {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -309,7 +309,7 @@
 			h.desk.started(m.Name)
 		}
 	}
-	h.desk.refresh(now)
+	h.desk.refresh(now, v)
 }
 
 // loopSweep closes what is no longer used.
--- a/internal/host/meter.go
+++ b/internal/host/meter.go
@@ -88,6 +88,7 @@
 	Used   bool
 	// Requests is how many Mean rests on.
 	Requests float64
+	Leaving  bool
 }
 
 func (r *loadReport) encode() ([]byte, error) {
@@ -98,7 +99,7 @@
 	for _, o := range r.lanes {
 		w.Lanes = append(w.Lanes, wireLane{
 			Target: string(o.Target), Mean: o.Mean.Microseconds(), Slow: o.Slow, Down: o.Down, Used: o.Used,
-			Requests: o.Requests,
+			Requests: o.Requests, Leaving: o.Leaving,
 		})
 	}
 	return cbor.Marshal(w)
@@ -116,7 +117,7 @@
 	for _, l := range w.Lanes {
 		r.lanes = append(r.lanes, dispatch.Opinion{
 			Target: place.Target(l.Target), Mean: time.Duration(l.Mean) * time.Microsecond, Slow: l.Slow, Down: l.Down, Used: l.Used,
-			Requests: l.Requests,
+			Requests: l.Requests, Leaving: l.Leaving,
 		})
 	}
 	return r, nil
--- a/internal/host/orders.go
+++ b/internal/host/orders.go
@@ -40,16 +40,17 @@
 	return &courier{orders: orders, log: log, conns: make(map[place.Target]*orderConn)}
 }
 
-// grants sends the grants one after the other and returns the result of each.
-func (c *courier) grants(ctx context.Context, e owner.SendGrants) []error {
-	results := make([]error, len(e.Grants))
+// grants sends the grants one after the other and returns the result of each, and
+// whether the target has said that it leaves.
+func (c *courier) grants(ctx context.Context, e owner.SendGrants) (results []error, leaving bool) {
+	results = make([]error, len(e.Grants))
 	for i := range results {
 		results[i] = target.ErrNotSent
 	}
 	conn, err := c.conn(ctx, e)
 	if err != nil {
 		c.log.Debug("Target takes no connection for orders.", slog.String("target", string(e.Target)), slog.Any("error", err))
-		return results
+		return results, false
 	}
 	for i, g := range e.Grants {
 		results[i] = c.grant(ctx, conn, g)
@@ -58,10 +59,11 @@
 		}
 		c.log.Info("Grant failed.", slog.String("target", string(e.Target)), slog.String("range", g.Range.String()),
 			slog.Uint64("fence", uint64(g.Fence)), slog.Any("error", results[i]))
+		leaving = conn.Leaving()
 		c.drop(e.Target, conn)
-		break
+		return results, leaving
 	}
-	return results
+	return results, conn.Leaving()
 }
 
 func (c *courier) grant(ctx context.Context, conn *orderConn, g target.Grant) error {
--- a/internal/host/runner.go
+++ b/internal/host/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -114,7 +115,9 @@
 	leads   atomic.Bool
 	weighed time.Time
 	// known numbers the list of targets that the core goes by, zero for none.
-	known      uint64
+	known uint64
+	// leaving are the lives of targets that have said to some host that they leave.
+	leaving    map[place.Target]place.Incarnation
 	load       partition.Load
 	capacities partition.Capacities
 }
@@ -146,6 +149,7 @@
 		started:  clock.Now(),
 		events:   make(chan func(time.Time) bool, 256),
 		opinions: make(map[place.Target]opinion),
+		leaving:  make(map[place.Target]place.Incarnation),
 	}
 	r.lease = r.newLease()
 	return r
@@ -234,6 +238,9 @@
 		r.meter.Add(now, p, n)
 	}
 	for _, o := range l.lanes {
+		if o.Leaving {
+			r.noteLeaving(o.Target)
+		}
 		if !o.Used && !o.Down {
 			continue
 		}
@@ -255,6 +262,37 @@
 	}
 }
 
+// noteLeaving notes that a target has said that it leaves, which the platform's list
+// may tell later, or never.
+func (r *runner) noteLeaving(name place.Target) {
+	row, ok := r.host.viewer.view().targets[name]
+	born, noted := r.leaving[name]
+	if !ok || row.State != place.Live || noted && born == row.Born {
+		return
+	}
+	r.log.Info("Target leaves by its own word.", slog.String("target", string(name)))
+	r.leaving[name] = row.Born
+	r.known = 0 // the core has to hear of it
+}
+
+// listed returns the targets of a view, those that have said so as leaving.
+func (r *runner) listed(v *view) map[place.Target]place.TargetRow {
+	maps.DeleteFunc(r.leaving, func(name place.Target, born place.Incarnation) bool {
+		row, ok := v.targets[name]
+		return !ok || row.Born != born
+	})
+	if len(r.leaving) == 0 {
+		return v.targets
+	}
+	out := maps.Clone(v.targets)
+	for name := range r.leaving {
+		row := out[name]
+		row.State = place.Leaving
+		out[name] = row
+	}
+	return out
+}
+
 // guard runs f. Where that panics, this host gives up the lead: what it knew may
 // be half changed, and the next lead starts from the store.
 func (r *runner) guard(f func()) {
@@ -274,7 +312,7 @@
 		r.core.Lease(r.lease.current().end)
 		if v.fleet != r.known {
 			r.known = v.fleet
-			r.core.Fleet(now, v.targets)
+			r.core.Fleet(now, r.listed(v))
 		}
 		r.weigh(now, v)
 		r.announce(now, v)
--- /dev/null
+++ b/internal/host/signal_test.go
@@ -0,0 +1,155 @@
+package host
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/standin"
+)
+
+// arrivals returns how many requests a target gets while f runs.
+func arrivals(r *standin.Ranged, f func()) int {
+	before := r.Arrived()
+	f()
+	return r.Arrived() - before
+}
+
+// ask sends requests to all hosts for a while and returns the answers.
+func (d *deployment) ask(span time.Duration, method, path string, points ...key.Point) []answer {
+	var out []answer
+	for end := time.Now().Add(span); time.Now().Before(end); {
+		for _, h := range d.hosts {
+			for _, p := range points {
+				out = append(out, d.send(h, method, path, p))
+			}
+		}
+	}
+	return out
+}
+
+// burst sends more requests at once than one target has slots for.
+func (d *deployment) burst(h *running, method, path string, point key.Point) {
+	var work sync.WaitGroup
+	for range 8 {
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			d.send(h, method, path, point)
+		}()
+	}
+	work.Wait()
+}
+
+// TestTargetSaysItLeaves: a target that says in its answers that it leaves, whatever
+// the platform lists, gets nothing new from a host that has heard it.
+func TestTargetSaysItLeaves(t *testing.T) {
+	t.Parallel()
+	t.Run("keyless", func(t *testing.T) {
+		t.Parallel()
+		d := deploy(t, 2, 1, 2)
+		d.served()
+		leaver := d.targets["desk-0"]
+		leaver.SetFaults(standin.RangedFaults{Work: 5 * time.Millisecond, Leaving: true})
+		d.eventually("a host has heard it, which tells the home", 5*time.Second, func() bool {
+			heard := false
+			for _, h := range d.hosts {
+				d.burst(h, "POST", "/free/x", 0)
+				leaving, _ := h.desk.backoff(time.Now(), h.viewer.view().targets["desk-0"])
+				heard = heard || !leaving.IsZero()
+			}
+			return heard
+		})
+		d.ask(100*time.Millisecond, "POST", "/free/x", 0)
+		n := arrivals(leaver, func() {
+			for _, a := range d.ask(time.Second, "POST", "/free/x", 0) {
+				assert.Equal(t, a.status, http.StatusOK, a.body)
+			}
+		})
+		assert.Equal(t, n, 0, "requests reached the target")
+	})
+	t.Run("owner of keys", func(t *testing.T) {
+		t.Parallel()
+		d := deploy(t, 2, 2, 1)
+		d.served()
+		leaver := d.targets["span-0"]
+		leaver.SetFaults(standin.RangedFaults{Work: 5 * time.Millisecond, Leaving: true})
+		points := []key.Point{100, 20000, 40000, key.Points - 1}
+		drain := d.hosts[0].bounds.Load().Drain
+		d.ask(drain, "GET", "/keys/x", points...)
+		n := arrivals(leaver, func() {
+			for _, a := range d.ask(time.Second, "GET", "/keys/x", points...) {
+				assert.Equal(t, a.status, http.StatusOK, a.body)
+			}
+		})
+		assert.Equal(t, n, 0, "requests reached the target")
+	})
+	t.Run("the only owner", func(t *testing.T) {
+		t.Parallel()
+		d := deploy(t, 1, 1, 0)
+		d.eventually("all keys are served", 15*time.Second, func() bool { return d.send(d.hosts[0], "GET", "/keys/x", 30000).status == http.StatusOK })
+		leaver := d.targets["span-0"]
+		leaver.SetFaults(standin.RangedFaults{Work: 5 * time.Millisecond, Leaving: true})
+		d.ask(d.hosts[0].bounds.Load().Drain, "GET", "/keys/x", 30000)
+		n := arrivals(leaver, func() {
+			for range 5 {
+				a := d.send(d.hosts[0], "GET", "/keys/x", 30000)
+				assert.Equal(t, a.status, http.StatusServiceUnavailable, a.body)
+			}
+		})
+		assert.Equal(t, n, 0, "requests reached the target")
+	})
+}
+
+// TestTargetWantsPause: a target that turns requests away for a time gets none of this
+// host until then; callers get another target, or are told when to come back.
+func TestTargetWantsPause(t *testing.T) {
+	t.Parallel()
+	const pause, grace = 3 * time.Second, 500 * time.Millisecond
+	for name, test := range map[string]struct {
+		method, path string
+		paused       place.Target
+		status       int
+	}{
+		"keyless":       {"POST", "/free/x", "desk-0", http.StatusOK},
+		"owner of keys": {"GET", "/keys/x", "span-0", http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t, 1, 1, 2)
+			d.served()
+			r := d.targets[test.paused]
+			r.SetFaults(standin.RangedFaults{Work: 5 * time.Millisecond, Refuse: 1, Pause: pause})
+			d.eventually("it has turned one away", 5*time.Second, func() bool {
+				d.burst(d.hosts[0], test.method, test.path, 30000)
+				_, left := d.hosts[0].desk.backoff(time.Now(), d.hosts[0].viewer.view().targets[test.paused])
+				return left > 0
+			})
+			asked := time.Now()
+			time.Sleep(grace)
+			n := arrivals(r, func() {
+				for time.Since(asked) < pause-2*grace { // towards the end callers are kept waiting
+					a := d.send(d.hosts[0], test.method, test.path, 30000)
+					assert.Equal(t, a.status, test.status, a.body)
+					if a.status == http.StatusOK {
+						continue
+					}
+					after, err := time.ParseDuration(a.retry + "s")
+					assert.NilError(t, err)
+					left := pause - time.Since(asked)
+					assert.Assert(t, after <= left+2*grace && after >= left-2*grace, "told to come back after %v, wanted again in %v", after, left)
+				}
+			})
+			assert.Equal(t, n, 0, "requests reached the target")
+			r.SetFaults(standin.RangedFaults{Work: 5 * time.Millisecond})
+			d.eventually("it gets requests again", pause, func() bool {
+				return arrivals(r, func() { d.burst(d.hosts[0], test.method, test.path, 30000) }) > 0
+			})
+		})
+	}
+}
--- a/internal/host/tasks.go
+++ b/internal/host/tasks.go
@@ -24,12 +24,15 @@
 	defer t.work.Done()
 	t.sending.Add(1)
 	defer t.sending.Add(-1)
-	results := t.courier.grants(ctx, t.effect)
+	results, leaving := t.courier.grants(ctx, t.effect)
 	for _, err := range results {
 		t.host.metrics.ordered(t.service, "grant", resultOf(err))
 	}
 	t.post(func(now time.Time) bool {
 		t.core.Granted(now, t.effect, results)
+		if leaving {
+			t.noteLeaving(t.effect.Target)
+		}
 		return t.core.Changed() // a mere renewal needs no step
 	})
 }
--- a/internal/standin/ranged.go
+++ b/internal/standin/ranged.go
@@ -28,6 +28,10 @@
 	Deaf bool
 	// Gone: no connection for orders can be had.
 	Gone bool
+	// Leaving: all answers say that the target stops soon.
+	Leaving bool
+	// Pause is what refusals ask for, in seconds, zero for nothing.
+	Pause time.Duration
 }
 
 // Ranged is the stand-in of a target that owns ranges of keys, or of one of a
@@ -194,8 +198,14 @@
 		return
 	}
 	status, f, draw := r.admit(req)
+	if f.Leaving {
+		w.Header().Set(r.names.Leaving, "1")
+	}
 	if status != 0 {
 		w.Header().Set(r.names.NotRun, "1")
+		if f.Pause > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(f.Pause.Seconds(), 'f', -1, 64))
+		}
 		w.WriteHeader(status)
 		return
 	}
@@ -251,6 +261,13 @@
 	ranged *Ranged
 }
 
+// Leaving implements target.OrderConn.
+func (c *rangedConn) Leaving() bool {
+	c.ranged.mu.Lock()
+	defer c.ranged.mu.Unlock()
+	return c.ranged.faults.Leaving
+}
+
 func (c *rangedConn) Close() error { return nil }
 
 func (c *rangedConn) enter(ctx context.Context) error {
--- a/internal/target/order.go
+++ b/internal/target/order.go
@@ -65,5 +65,7 @@
 type OrderConn interface {
 	Grant(ctx context.Context, g Grant) error
 	Release(ctx context.Context, r Release) (Handover, error)
+	// Leaving reports whether the target has said in an answer that it stops soon.
+	Leaving() bool
 	Close() error
 }
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
 	"citrontray.example/citrontray/internal/grant"
 )
@@ -58,6 +59,17 @@
 	Stamp string
 	// Handover carries what a target hands on with released keys.
 	Handover string
+	// Leaving is "1" in all answers of a target that stops soon.
+	Leaving string
+}
+
+// Signal is what a target asks of the host that it answers, beside the answer.
+type Signal struct {
+	// Leaving: it stops soon and wants no new work.
+	Leaving bool
+	// Pause is how long it wants no request from this host, after it has turned one
+	// away; zero for none.
+	Pause time.Duration
 }
 
 // OwnNames are the names of the product's own protocol.
@@ -70,6 +82,7 @@
 		Target:   "Citrontray-Target",
 		NotRun:   HeaderNotRun,
 		Handover: "Citrontray-Handover",
+		Leaving:  "Citrontray-Leaving",
 	}
 }
 
