Bytes without end cost bounded memory and end with the connection

Found by reading: an answer's body was held up to 16 MB whatever the memory, at a length that the target claimed in one allocation; twenty such answers are more than a host of 284 MB has.

Ruled out: idle connections, whose bytes the kernel's window bounds.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -135,7 +136,7 @@
 	if resp.ContentLength > r.MaxBody {
 		return Uncertain{Reason: outcome.AnswerTooBig, Err: fmt.Errorf("forward: answer of %d bytes", resp.ContentLength)}
 	}
-	body, failure := c.readBody(resp, r.MaxBody)
+	body, failure := c.readBody(resp, r)
 	if failure != nil {
 		return failure
 	}
@@ -180,23 +181,47 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
-func (c *conn) readBody(resp *http.Response, bound int64) ([]byte, Result) {
-	c.bound.N = bound + maxAnswerHead // chunk heads and trailers included
-	if n := resp.ContentLength; n >= 0 && resp.Request.Method != http.MethodHead {
-		body := make([]byte, n)
-		if _, err := io.ReadFull(resp.Body, body); err != nil {
-			return nil, uncertain(outcome.AnswerCut, err)
+const (
+	// bodyFirst is the memory in bytes that is reserved first for a body of unknown
+	// length, bodyMost that at once for any: an answer that claims to be long may be
+	// bytes without end.
+	bodyFirst = 4 << 10
+	bodyMost  = 64 << 10
+)
+
+var (
+	errOverBound = errors.New("forward: answer over the bound")
+	errNoMemory  = errors.New("forward: no memory left for the answer")
+)
+
+// readBody reads a body, within the request's bound and the memory that is left.
+func (c *conn) readBody(resp *http.Response, r *Request) ([]byte, Result) {
+	c.bound.N = r.MaxBody + maxAnswerHead // chunk heads and trailers included
+	step := int64(bodyFirst)
+	if n := resp.ContentLength; n >= 0 {
+		step = n + 1 // the last read finds the end
+	}
+	var body []byte
+	for {
+		step = min(step, bodyMost, r.MaxBody+1-int64(len(body)))
+		if r.Take != nil && !r.Take(step) {
+			return nil, Uncertain{Reason: outcome.AnswerTooBig, Err: errNoMemory}
 		}
-		return body, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, bound+1))
-	if err != nil {
-		return nil, uncertain(outcome.AnswerCut, err)
-	}
-	if int64(len(body)) > bound {
-		return nil, Uncertain{Reason: outcome.AnswerTooBig, Err: errors.New("forward: answer over the bound")}
+		body = slices.Grow(body, int(step))
+		for end := len(body) + int(step); len(body) < end; {
+			n, err := resp.Body.Read(body[len(body):end])
+			body = body[:len(body)+n]
+			switch {
+			case errors.Is(err, io.EOF):
+				return body, nil
+			case err != nil:
+				return nil, uncertain(outcome.AnswerCut, err)
+			case int64(len(body)) > r.MaxBody:
+				return nil, Uncertain{Reason: outcome.AnswerTooBig, Err: errOverBound}
+			}
+		}
+		step = int64(len(body))
 	}
-	return body, nil
 }
 
 // uncertain tells a deadline from a broken connection.
--- a/internal/forward/named.go
+++ b/internal/forward/named.go
@@ -96,7 +96,7 @@
 			c.end(resp)
 			return Uncertain{Reason: outcome.AnswerWrong, Err: errOther}
 		}
-		if _, failure := c.readBody(resp, r.MaxBody); failure != nil {
+		if _, failure := c.readBody(resp, r); failure != nil {
 			c.end(resp)
 			return failure
 		}
@@ -115,7 +115,7 @@
 	if resp.ContentLength > r.MaxBody {
 		return Uncertain{Reason: outcome.AnswerTooBig, Err: fmt.Errorf("forward: answer of %d bytes", resp.ContentLength)}
 	}
-	body, failure := c.readBody(resp, r.MaxBody)
+	body, failure := c.readBody(resp, r)
 	if failure != nil {
 		return failure
 	}
--- a/internal/forward/result.go
+++ b/internal/forward/result.go
@@ -31,6 +31,9 @@
 	Deadline time.Time
 	// MaxBody bounds the body of the answer, in bytes.
 	MaxBody int64
+	// Take reserves memory for that many more bytes of the answer, and reports whether
+	// there is any left; nil takes no account.
+	Take func(bytes int64) bool
 	// MaxIdle is how long a connection may have been idle to be used; zero
 	// stands for any time.
 	MaxIdle time.Duration
--- a/internal/host/front.go
+++ b/internal/host/front.go
@@ -19,7 +19,8 @@
 	retryStarting = 200 * time.Millisecond
 	// maxAnswer bounds the body of an answer, which is held whole.
 	maxAnswer = 16 << 20
-	// maxHeld bounds the bodies held at once, as a share of the memory.
+	// maxHeld bounds the bodies of requests and answers held at once, as a share of
+	// the memory.
 	maxHeld = 0.25
 )
 
@@ -29,7 +30,7 @@
 	id := r.Header.Get(h.names.Request)
 	j, result := h.newJob(w, r, id, start)
 	if result == nil {
-		defer h.held.Release(int64(len(j.request.Body)))
+		defer func() { h.held.Release(j.holding) }()
 		result = j.run(r.Context())
 	}
 	h.ended(j, id, start, result)
@@ -84,9 +85,10 @@
 	for _, name := range []string{h.names.Request, h.names.Deadline, h.names.Expect} {
 		header.Del(name)
 	}
+	j.holding = int64(len(body))
 	j.request = forward.Request{
 		ID: id, Method: r.Method, URI: r.RequestURI, Header: header, Body: body,
-		Deadline: j.deadline, MaxBody: maxAnswer, Names: h.names, Host: r.Host,
+		Deadline: j.deadline, MaxBody: maxAnswer, Names: h.names, Host: r.Host, Take: j.take,
 	}
 	return j, nil
 }
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -75,6 +75,8 @@
 	refusal  dispatch.Reason
 	// last is the target that the request was last sent to.
 	last place.Target
+	// holding is the memory in bytes that is reserved for bodies.
+	holding int64
 	// config and table are the versions that the last decision went by, and
 	// tableAge the age of that table.
 	config   traffic.Version
@@ -375,6 +377,15 @@
 	return j.conclude(ctx, t, result)
 }
 
+// take reserves memory for an answer until the request has ended.
+func (j *job) take(bytes int64) bool {
+	if !j.host.held.TryAcquire(bytes) {
+		return false
+	}
+	j.holding += bytes
+	return true
+}
+
 // heedSignal follows what a target asks of this host beside its answer.
 func (j *job) heedSignal(t ticket, result forward.Result) {
 	var signal target.Signal
