--- a/internal/standin/restore.go
+++ b/internal/standin/restore.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"citrontray.example/citrontray/internal/platform"
@@ -40,17 +39,16 @@
 	s.copies = append(s.copies, c)
 }
 
-// Restore goes back to what was there so long ago. What operators and targets wrote
-// since is written again; all else is gone, sessions too, and revisions and session
-// numbers are given out again.
-func (s *Sessions) Restore(age time.Duration) {
+// Restore goes back to what was there so long ago. What others than the hosts wrote
+// since, operators and targets, is written again; all else is gone, sessions too, and
+// revisions and session numbers are given out again.
+func (s *Sessions) Restore(age time.Duration, others func(platform.Path) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	present := s.values
 	s.back(age)
 	for path, value := range present {
-		others := path == platform.PathConfig || strings.HasPrefix(string(path), string(platform.PathTargets))
-		if others && string(s.values[path].Value) != string(value.Value) {
+		if others(path) && string(s.values[path].Value) != string(value.Value) {
 			s.put(platform.Put{Path: path, Value: value.Value})
 		}
 	}
