A range that shall move is served until the store has answered

Where the store takes 0.15 s a call, a range that waited for the renewal was hidden for as long, and moves were called off at 0.3 s. Now it is hidden once the store has answered, and waits up to 0.6 s; what a target that leaves has is hidden at once as before. Also: judge in three functions, a test field that nothing used.

--- a/internal/dispatch/reach_test.go
+++ b/internal/dispatch/reach_test.go
@@ -42,7 +42,8 @@
 		},
 		"zones of one host": {
 			map[place.Zone]Zone{"a": {Targets: 1, Hosts: 1}, "b": {Targets: 1, Hosts: 1, Suspects: 1}, "c": {Targets: 1, Hosts: 1, Suspects: 1}},
-			[]place.Zone{"b", "c"}, nil, true,
+			[]place.Zone{"b", "c"},
+			nil, true,
 		},
 		"the own zone": {suspects(map[place.Zone]int{"a": 3}), []place.Zone{"a"}, nil, false},
 	} {
--- a/internal/host/runner.go
+++ b/internal/host/runner.go
@@ -51,9 +51,9 @@
 	// written; a write takes some 10 ms, half a second where the store is slow
 	// and another write comes first.
 	reclaimAfter = 800 * time.Millisecond
-	// confirmTime is how long a move waits for the store to renew the lease. Requests
-	// for the range wait meanwhile, for up to 0.4 of their time.
-	confirmTime = 300 * time.Millisecond
+	// confirmTime is how long a move waits for the store to renew the lease: two calls
+	// where the store takes a quarter of a second for each.
+	confirmTime = 600 * time.Millisecond
 	// gatherTime is how long a free range waits for others to be written with.
 	// At 100 ms a grown day writes a fifth less and refuses for want of an owner
 	// a fifth more, which costs more.
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -48,9 +48,9 @@
 	// Fresh is how recent the last renewal of the lease must be for moves to
 	// begin: a range that is released while the store is away waits for it.
 	Fresh time.Duration
-	// Confirm is how long a range that shall move waits for a renewal of the lease
-	// that was sent after that was decided: a range that is released and whose new
-	// owner can't be written has none until the store is back.
+	// Confirm is how long a range that shall move stays with its owner until the lease
+	// has been renewed by a call that was sent after that was decided: a range that is
+	// released and whose new owner can't be written has none until the store is back.
 	Confirm time.Duration
 	// Reclaim is how long a released range waits for its new owner to be
 	// written before it goes back to the old one.
--- a/internal/owner/move.go
+++ b/internal/owner/move.go
@@ -155,20 +155,26 @@
 // confirmAgain is the time between two wishes to have the lease renewed.
 const confirmAgain = 100 * time.Millisecond
 
-// confirm has the lease renewed where ranges wait to be released, and calls off
-// the moves of those that have waited for too long.
+// confirm hides the ranges that are about to be released, once the store has answered
+// since their move was decided. Until then their owners serve them, and moves that wait
+// for too long are called off. What an owner that leaves has is hidden at once.
 func (c *Core) confirm(now time.Time) {
 	waiting := false
 	for _, r := range c.rows {
-		if r.state != leaving || c.confirmed(r) {
+		if r.state != leaving {
 			continue
 		}
-		waiting = true
-		if c.staying(r) && now.Sub(r.since) > c.cfg.Confirm && now.Before(r.sure) {
+		sure, stays := c.confirmed(r), c.staying(r)
+		if r.served && (sure || !stays) {
+			r.served, c.changed = false, true
+		}
+		if !sure && stays && now.Sub(r.since) > c.cfg.Confirm {
 			c.note(now, "Range stays, the store does not answer.", r, r.to)
-			r.state, r.to, r.since, r.served = held, "", now, true
-			c.changed, c.reclaimed = true, now
+			r.state, r.to, r.since = held, "", now
+			c.reclaimed = now
+			continue
 		}
+		waiting = waiting || !sure
 	}
 	if waiting && now.Sub(c.confirming) >= confirmAgain {
 		c.confirming = now
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -69,20 +69,7 @@
 		}
 		switch r.state {
 		case held:
-			if now.Before(c.cautious) && !c.staying(r) {
-				c.changed = c.changed || r.served
-				r.served = false
-				break
-			}
-			if !c.staying(r) {
-				c.leave(now, r, "", "Range leaves a target that leaves.")
-				break
-			}
-			if r.served && now.After(r.sure) {
-				c.note(now, "Target leaves grants unanswered.", r, "")
-				r.served = false
-				c.changed = true
-			}
+			c.judgeHeld(now, r)
 		case free:
 			if r.released && c.reclaimable(now, r) && c.usable(now, r.Target) {
 				c.reclaim(now, r)
@@ -90,16 +77,37 @@
 		case leaving, releasing, writing:
 		}
 		if now.After(r.end) && r.state != free && r.state != writing && !c.lane(r.Target).busy {
-			c.free(now, r, "Grant has lapsed.")
-			if l := c.lane(r.Target); !l.failing.IsZero() && c.alternative(now, r.Target) {
-				// No order went out after it was in doubt: its silence is as
-				// new as the lapse.
-				l.failedAt = now
-			}
+			c.lapse(now, r)
 		}
 	}
 }
 
+// judgeHeld hides a range whose owner does not surely hold it, and lets one leave an
+// owner that leaves. A move has to wait where another lead may have made one.
+func (c *Core) judgeHeld(now time.Time, r *row) {
+	switch {
+	case c.staying(r):
+	case !now.Before(c.cautious):
+		c.leave(now, r, "", "Range leaves a target that leaves.")
+		return
+	case r.served:
+		r.served, c.changed = false, true
+	}
+	if r.served && now.After(r.sure) {
+		c.note(now, "Target leaves grants unanswered.", r, "")
+		r.served, c.changed = false, true
+	}
+}
+
+// lapse notes that the last grant of a range has ended.
+func (c *Core) lapse(now time.Time, r *row) {
+	c.free(now, r, "Grant has lapsed.")
+	if l := c.lane(r.Target); !l.failing.IsZero() && c.alternative(now, r.Target) {
+		// No order went out after it was in doubt: its silence is as new as the lapse.
+		l.failedAt = now
+	}
+}
+
 func (c *Core) note(now time.Time, text string, r *row, to place.Target) {
 	c.emit(Note{Text: text, Range: r.Range, From: r.Target, To: to, Fence: r.fence, Age: now.Sub(r.since)})
 }
@@ -119,9 +127,9 @@
 	parts := int(partsOfWork * c.load.Of(r.Range))
 	for _, part := range c.load.Parts(r.Range, min(parts, partsMost)) {
 		p := c.split(part)
-		p.state, p.to, p.since, p.served = leaving, to, now, false
+		p.state, p.to, p.since = leaving, to, now
 	}
-	c.changed = true
+	c.confirm(now)
 }
 
 // free notes that nobody holds the range.
--- a/internal/owner/worldhost_test.go
+++ b/internal/owner/worldhost_test.go
@@ -34,7 +34,6 @@
 	// era is the latest that this host has heard of, leadEra that of its lead's entry,
 	// firstEra that in which its life began.
 	era, leadEra, firstEra platform.Era
-	mark                   uint64
 	sending                int
 	before                 place.Host
 	beforeAt               place.Incarnation
