--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -5,7 +5,6 @@
 	"errors"
 	"log/slog"
 	"net/http"
-	"slices"
 	"time"
 
 	"citrontray.example/citrontray/internal/dispatch"
@@ -192,26 +191,6 @@
 	return dispatch.PoolID{}, "", again{most - j.parked}
 }
 
-// refrain returns what to do with a request whose owner wants none of this host now:
-// it waits for a short pause to end, or is told to come back then. One that has said
-// that it leaves is still its keys' owner until they have moved, or must be done.
-func (j *job) refrain(now time.Time, owner place.TargetRow) step {
-	leaving, pause := j.host.desk.backoff(now, owner)
-	switch {
-	case !leaving.IsZero() && now.Sub(leaving) >= j.host.bounds.Load().Drain-drainMargin:
-		return finish{outcome.NotRunFailure{Reason: outcome.NoOwner, RetryAfter: retryUnowned}}
-	case pause > 0 && now.Add(pause).Sub(j.arrived) > time.Duration(parkShare*float64(j.deadline.Sub(j.arrived))):
-		return finish{outcome.NotRunFailure{Reason: outcome.Refused, RetryAfter: pause}}
-	case pause > 0:
-		return again{pause}
-	}
-	return nil
-}
-
-// drainMargin is how long before the end of its notice a target that leaves gets no
-// more requests: they wait here for a slot, and are on their way.
-const drainMargin = 300 * time.Millisecond
-
 // span returns the part of the table that the key lies in, and the time until
 // it probably has an owner where it has none.
 func (j *job) span(now time.Time, v *view) (*owner.Span, time.Duration) {
@@ -302,25 +281,6 @@
 	return ticket{}, finish{outcome.NotRunFailure{Reason: outcome.Overload, RetryAfter: retryUnowned}}
 }
 
-// decline returns what to do in place of using a slot of a target that leaves, or
-// wants no requests of this host now; nil where the slot may be used.
-func (j *job) decline(m dispatch.Placed, owner place.Target) step {
-	now, v := time.Now(), j.host.viewer.view()
-	row := v.targets[m.Target]
-	if owner != "" {
-		return j.refrain(now, row)
-	}
-	leaving, pause := j.host.desk.backoff(now, row)
-	switch {
-	case leaving.IsZero() && pause == 0 && !v.leaves(m.Target):
-		return nil
-	case slices.Contains(j.tried, m.Target):
-		return finish{outcome.NotRunFailure{Reason: outcome.Unreachable, RetryAfter: max(pause, retryUnowned)}}
-	}
-	j.tried = append(j.tried, m.Target)
-	return again{}
-}
-
 // unused gives a ticket back that came too late to be used.
 func (j *job) unused(id dispatch.TicketID, m dispatch.Message) ticket {
 	if _, ok := m.(dispatch.Placed); ok {
@@ -386,36 +346,6 @@
 	return true
 }
 
-// heedSignal follows what a target asks of this host beside its answer.
-func (j *job) heedSignal(t ticket, result forward.Result) {
-	var signal target.Signal
-	switch r := result.(type) {
-	case forward.Answered:
-		signal = r.Signal
-	case forward.Refused:
-		signal = r.Signal
-	case forward.NotSent, forward.Uncertain:
-		return
-	}
-	now := time.Now()
-	row, ok := j.host.viewer.view().targets[t.target]
-	if !ok {
-		return // it is gone already
-	}
-	pool := dispatch.PoolID{Service: j.service.Name, Target: t.target}
-	if j.service.Keys == traffic.Keyless {
-		pool = j.host.viewer.view().pool(j.service.Name, j.host.site.Zone)
-	}
-	if j.host.desk.heed(now, pool, row, signal) {
-		j.host.log.Info("Target says that it leaves.", slog.String("request", j.request.ID),
-			slog.String("service", string(j.service.Name)), slog.String("target", string(t.target)))
-	}
-	if signal.Pause > 0 {
-		j.host.log.Info("Target wants no requests for a while.", slog.String("request", j.request.ID),
-			slog.String("service", string(j.service.Name)), slog.String("target", string(t.target)), millis("pause", signal.Pause))
-	}
-}
-
 // logAttempt writes a line for an attempt that was not served.
 func (j *job) logAttempt(t ticket, end dispatch.End, took time.Duration, result forward.Result) {
 	attrs := []any{
--- a/internal/owner/move.go
+++ b/internal/owner/move.go
@@ -9,7 +9,6 @@
 
 	"citrontray.example/citrontray/internal/partition"
 	"citrontray.example/citrontray/internal/place"
-	"citrontray.example/citrontray/internal/platform"
 	"citrontray.example/citrontray/internal/target"
 )
 
@@ -378,99 +377,6 @@
 	}
 }
 
-// writeAgain is the pause after a write that the store did not take: each call
-// is billed, and the store is out for seconds.
-const writeAgain = 200 * time.Millisecond
-
-// write puts the new owners of free ranges into the store, all in one write.
-func (c *Core) write(now time.Time) {
-	cleared := c.marked && !now.Before(later(c.stragglers, c.cautious))
-	if c.pending != nil || !c.gathered(now) && !cleared || now.Sub(c.refused) < writeAgain {
-		return
-	}
-	c.marked = c.marked && !cleared
-	for _, r := range c.rows {
-		if c.placeable(now, r) {
-			r.state = writing
-		}
-	}
-	doc := c.Doc(now)
-	for i, r := range c.rows {
-		if r.state == writing {
-			t := c.fleet[r.to]
-			doc.Rows[i] = Row{Range: r.Range, Target: r.to, Born: t.Born, Addr: t.Addr, Handover: r.Handover}
-		}
-	}
-	c.pending = &doc
-	c.emit(WriteDoc{Doc: doc, Expect: c.revision})
-}
-
-// placeable reports whether a range can be given to its next owner.
-func (c *Core) placeable(now time.Time, r *row) bool {
-	return r.state == free && r.to != "" && c.usable(now, r.to)
-}
-
-// gathered reports whether there is something to write that should not wait.
-func (c *Core) gathered(now time.Time) bool {
-	ready, due, coming := false, false, false
-	for _, r := range c.rows {
-		if c.placeable(now, r) {
-			ready = true
-			due = due || now.Sub(r.since) >= c.cfg.Gather
-		}
-		coming = coming || r.state == releasing
-	}
-	return ready && (due || !coming)
-}
-
-// Written tells that the document has been written.
-func (c *Core) Written(now time.Time, e WriteDoc, revision platform.Revision) {
-	if !c.leading || c.pending == nil || c.pending.Write != e.Doc.Write {
-		return
-	}
-	c.pending, c.revision = nil, revision
-	for _, r := range c.rows {
-		if r.state != writing {
-			continue
-		}
-		for _, w := range e.Doc.Rows {
-			if w.Range.Covers(r.Range) {
-				w.Range = r.Range
-				if w.Handover == "" && r.Target != "" && w.Target != r.Target {
-					r.warmAt = now.Add(c.warm)
-				}
-				r.Row = w
-			}
-		}
-		r.state, r.to, r.since = held, "", now
-		// An owner that takes no grant by then holds nothing.
-		r.end, r.sure = now.Add(c.cfg.First), now.Add(c.cfg.First)
-		c.lane(r.Target)
-		c.note(now, "New owner recorded.", r, r.Target)
-	}
-}
-
-// NotWritten tells that the document has certainly not been written.
-func (c *Core) NotWritten(now time.Time, e WriteDoc) {
-	if !c.leading || c.pending == nil || c.pending.Write != e.Doc.Write {
-		return
-	}
-	c.pending, c.refused = nil, now
-	for _, r := range c.rows {
-		if r.state == writing {
-			r.state = free
-		}
-	}
-}
-
-// Outrun tells that another write came before this one. If the document is
-// still this lead's concern, another host leads.
-func (c *Core) Outrun(e WriteDoc) {
-	if c.leading && c.pending != nil && c.pending.Write == e.Doc.Write {
-		c.Depose()
-	}
-}
-
 // publish makes a table if anything changed that requests depend on, or the
 // last one is old.
 func (c *Core) publish(now time.Time) {
