--- a/internal/owner/move.go
+++ b/internal/owner/move.go
@@ -108,7 +108,7 @@
 	for _, r := range c.rows {
 		switch {
 		case r.Target == "":
-		case r.state == held, r.state == leaving && !(c.releasable(r) && c.confirmed(r)):
+		case r.state == held, r.state == leaving && (!c.releasable(r) || !c.confirmed(r)):
 			if c.due(now, r) {
 				byTarget[r.Target] = append(byTarget[r.Target], r)
 			}
