A campaign that met a restore is tried again at once

A campaign whose answer was of another era waited 0.5 to 1.4 s like one that the store did not answer; its lead holds all moves meanwhile. TestStoreComesBackOlder and the tests of leads pass.

--- a/internal/host/campaign.go
+++ b/internal/host/campaign.go
@@ -137,7 +137,7 @@
 		if err != nil {
 			c.log.Info("Campaign for the lead failed.", slog.Any("error", err))
 			c.pausedUntil = now.Add(rand.N(campaignStep))
-			if !errors.Is(err, errLost) {
+			if !errors.Is(err, errLost) && !errors.Is(err, platform.ErrRestored) {
 				c.pausedUntil = now.Add(campaignAgain/2 + rand.N(campaignAgain))
 			}
 			return false
--- a/internal/owner/restore.go
+++ b/internal/owner/restore.go
@@ -7,9 +7,9 @@
 )
 
 // Restored tells that the store has come back from an older copy since a term began:
-// the term's lease and what it last wrote are gone, or will be another's. Until this host leads again by the
-// store, and has waited for leads that nobody remembers, it renews what its owners
-// surely hold and does nothing else.
+// the term's lease and what it last wrote are gone, or will be another's. Until this
+// host leads again by the store, and has waited for leads that nobody remembers, it
+// renews what its owners surely hold and does nothing else.
 func (c *Core) Restored(now time.Time, term Term) {
 	if !c.leading || c.restored || term != c.term {
 		return
