A move is called off only once no grant of its range is on its way

10,300 random runs with the drill (5,100 and 5,200) found 3 doubled owners in the second half: seeds 3007942, 3045894, 3049594, kept. A move whose release was not answered was called off while a grant of the range was under way; the grant's fence and connection were forgotten, so that its answer, or the lack of one, no longer moved the time until which the owner may hold the range, and that was given to another when the earlier grants had lapsed.

Now the call-off waits until the grant is answered or has failed. The three seeds pass.

--- a/internal/owner/move.go
+++ b/internal/owner/move.go
@@ -167,7 +167,8 @@
 		if r.served && (sure || !stays) {
 			r.served, c.changed = false, true
 		}
-		if !sure && stays && now.Sub(r.since) > c.cfg.Confirm {
+		// The answer to a grant that is on its way tells until when it may hold.
+		if !sure && stays && now.Sub(r.since) > c.cfg.Confirm && !c.lane(r.Target).busy {
 			c.note(now, "Range stays, the store does not answer.", r, r.to)
 			r.state, r.to, r.since = held, "", now
 			if r.release != 0 && now.Before(c.leaseEnd) {
--- a/internal/owner/random_test.go
+++ b/internal/owner/random_test.go
@@ -250,6 +250,8 @@
 	seeds = append(seeds, 1047082, 1083642)
 	// A release was tried again while the store was out.
 	seeds = append(seeds, 1092906)
+	// A move was called off while a grant of the range was on its way.
+	seeds = append(seeds, 3007942, 3045894, 3049594)
 	// A write was refused in the last moment of the lease: checkStranded allows it.
 	seeds = append(seeds, 2001522, 2081334)
 	for i := range uint64(runs) {
