A target whose entry is gone leaves the view when its grace ends, not at the next look

The next look is when the next target expires. TestTargetGoesInTime: 0.50 s before, within 0.3 s now.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -279,9 +279,8 @@
 	published := h.board.Subscribe("")
 	lives := make(map[place.Host]place.Incarnation)
 	lists := uint64(0)
-	const expiry = 500 * time.Millisecond
-	ticker := time.NewTicker(expiry)
-	defer ticker.Stop()
+	timer := time.NewTimer(viewExpiry)
+	defer timer.Stop()
 	for {
 		now := time.Now()
 		changed := false
@@ -300,15 +299,19 @@
 				h.takeLists(now, v, lives)
 			}
 		}
+		timer.Reset(h.viewer.rest(time.Now()))
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-published:
-		case <-ticker.C:
+		case <-timer.C:
 		}
 	}
 }
 
+// viewExpiry is the longest time between two looks at what may have expired.
+const viewExpiry = 500 * time.Millisecond
+
 // takeLists puts newer lists of hosts and targets in force; lives are those of the
 // hosts so far.
 func (h *Host) takeLists(now time.Time, v *view, lives map[place.Host]place.Incarnation) {
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -232,6 +232,18 @@
 	return true
 }
 
+// rest returns the time until something in the view may have expired: targets have
+// two seconds to be used no more by any host.
+func (v *viewer) rest(now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	at := v.tracker.NextChange()
+	if at.IsZero() {
+		return viewExpiry
+	}
+	return min(max(at.Sub(now), 0), viewExpiry)
+}
+
 // newer returns a document if it is newer than what was read of it last.
 func (v *viewer) newer(name spread.Name) (spread.Document, bool) {
 	doc, ok := v.board.Get(name)
--- a/internal/host/view_test.go
+++ b/internal/host/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -90,3 +91,35 @@
 		})
 	}
 }
+
+// TestTargetGoesInTime: a target whose entry is gone is in no view once its grace has
+// passed, however long that is before the next look at what has expired. Found by
+// hunt-1288-7 of serantau-dq, where a host used one for 2.2 s.
+func TestTargetGoesInTime(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1, 1, 2)
+	d.served()
+	h := d.hosts[0]
+	const slack = 100 * time.Millisecond // of a machine that is busy
+	for i := range 4 {
+		name := place.Target(fmt.Sprintf("desk-%d", 2+i))
+		r := d.addTarget(name, "desk")
+		d.eventually("the target is there", 5*time.Second, func() bool { _, ok := h.viewer.view().targets[name]; return ok })
+		time.Sleep(time.Duration(i) * viewExpiry / 4) // at another moment between two looks
+		d.store.Remove(platform.PathTargets + platform.Path(r.Name))
+		gone := func() bool { _, ok := h.viewer.view().targets[name]; return !ok }
+		noticed := func() bool {
+			doc, ok := h.board.Get(docTargets)
+			list, err := fleet.Decode(doc.Body)
+			return ok && err == nil && !slices.ContainsFunc(list.Targets, func(row place.TargetRow) bool { return row.Target == name })
+		}
+		for !noticed() {
+			time.Sleep(time.Millisecond)
+		}
+		read := time.Now()
+		for !gone() {
+			time.Sleep(time.Millisecond)
+		}
+		assert.Assert(t, time.Since(read) < 200*time.Millisecond+slack, "used for %v more", time.Since(read))
+	}
+}
