--- a/internal/dispatch/backoff.go
+++ b/internal/dispatch/backoff.go
@@ -84,10 +84,15 @@
 	return out[:min(len(out), excludedMost)]
 }
 
-// Keep forgets the targets that are not listed any more and whose pause is over.
+// leavingKept is how long the word of a target that is not listed any more is kept: a
+// store that comes back from an older copy lists it again some seconds later.
+const leavingKept = 10 * time.Minute
+
+// Keep forgets the targets that are not listed any more, once their pause is over and
+// they have left long ago.
 func (b *Backoffs) Keep(now time.Time, listed func(place.Target) bool) {
 	for name, t := range b.targets {
-		if !listed(name) && now.After(t.until) {
+		if !listed(name) && now.After(t.until) && now.Sub(t.leaving) > leavingKept {
 			delete(b.targets, name)
 		}
 	}
--- a/internal/dispatch/backoff_test.go
+++ b/internal/dispatch/backoff_test.go
@@ -54,3 +54,18 @@
 	}
 	assert.Equal(t, told, 5)
 }
+
+// TestLeavingIsKept: a target that has said that it leaves is not taken for another one
+// where the platform's list loses it and has it back.
+func TestLeavingIsKept(t *testing.T) {
+	b, now := NewBackoffs(), time.Unix(1000, 0)
+	b.Note(now, "a", 1, target.Signal{Leaving: true})
+	b.Note(now, "b", 1, target.Signal{Pause: time.Second})
+	none := func(place.Target) bool { return false }
+	b.Keep(now.Add(time.Minute), none)
+	leaving, _ := b.Of(now.Add(time.Minute), "a", 1)
+	assert.Assert(t, !leaving.IsZero())
+	assert.Equal(t, len(b.targets), 1)
+	b.Keep(now.Add(leavingKept+time.Second), none)
+	assert.Equal(t, len(b.targets), 0)
+}
