Failing test: hosts without paths to targets take them from all hosts

TestHostsCutFromTargets cuts the paths between some of four hosts and all targets, silent, refused and reset, and counts first attempts at cut hosts and at the others. On this code all six cases fail: with one silent host the others serve 76 of 360 requests for keys and 87 of 360 for the keyless service, the cut host none of 240; with the leader cut, 27 of 360 and 139 of 360.

--- a/internal/host/fixture_test.go
+++ b/internal/host/fixture_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -57,6 +56,7 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 	logs   *syncBuffer
+	paths  *paths
 }
 
 type syncBuffer struct {
@@ -235,20 +235,16 @@
 	}
 	credentials, err := certs.NewUnverified(time.Now(), peer.Identity{Host: s.Host, Zone: s.Zone, Role: peer.RoleLead})
 	assert.NilError(d.t, err)
-	logs := &syncBuffer{}
+	logs, links := &syncBuffer{}, newPaths(d.orders)
 	h, err := Open(Environment{
-		Site: s, Store: d.store, Orders: d.orders, Names: d.names,
-		Dial: func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-			var dialer net.Dialer
-			return dialer.DialContext(ctx, "tcp", addr.String())
-		},
+		Site: s, Store: d.store, Orders: links, Names: d.names, Dial: links.dial,
 		DecodeConfig: d.decodeConfig, DecodeTarget: decodeRow, Credentials: credentials,
 		ReadSite:   func() (site.Site, error) { return s, nil },
 		LogHandler: logging.NewBoundedHandler(logs, slog.LevelDebug),
 	})
 	assert.NilError(d.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &testHost{Host: h, cancel: cancel, done: make(chan struct{}), logs: logs}
+	r := &testHost{Host: h, cancel: cancel, done: make(chan struct{}), logs: logs, paths: links}
 	go func() {
 		defer close(r.done)
 		if err := h.Run(ctx); err != nil {
