Relay codec: results of relayed requests are encoded in one package

Callers see nothing of it. citrontray-host is about to pass requests on as citrontray-entry does, and the two need the same encoding of results; package entry keeps its own of jobs. No wire format changes (round trip and decode tests of package entry pass).

--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -8,6 +8,7 @@
 	"citrontray.example/citrontray/internal/outcome"
 	"citrontray.example/citrontray/internal/peer"
 	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/relay"
 )
 
 // Sharing is how the entry hosts share a target's slots.
@@ -233,18 +234,18 @@
 	j.request.ID = e.requestIDs.next()
 	j.relayed = true
 	if !e.acceptsRelayed(j) {
-		return encodeResult(outcome.NotRunFailure{Reason: reasonNotHome}, false)
+		return relay.EncodeResult(outcome.NotRunFailure{Reason: reasonNotHome}, false)
 	}
 	size := int64(len(j.request.Body))
 	if !e.bodyMemory.reserve(size) {
-		return encodeResult(notRun(outcome.Overload, defaultRetryAfter), true)
+		return relay.EncodeResult(notRun(outcome.Overload, defaultRetryAfter), true)
 	}
 	defer e.bodyMemory.release(size)
 	if j.idempotencyKey != "" {
-		return encodeResult(e.serveOnce(ctx, j), false)
+		return relay.EncodeResult(e.serveOnce(ctx, j), false)
 	}
 	result := e.serve(ctx, j)
-	return encodeResult(result, j.waited)
+	return relay.EncodeResult(result, j.waited)
 }
 
 // drainRelayed refuses further relayed requests as not run and waits for those in
--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -11,6 +11,7 @@
 	"citrontray.example/citrontray/internal/forward"
 	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/outcome"
+	"citrontray.example/citrontray/internal/relay"
 	"citrontray.example/citrontray/internal/settings"
 )
 
@@ -21,44 +22,28 @@
 // errMalformed is returned for a message that can't be decoded.
 var errMalformed = errors.New("entry: malformed message")
 
-// Messages between entry hosts.
-type (
-	wireJob struct {
-		_              struct{} `cbor:",toarray"`
-		Caller         string
-		Class          string
-		Route          string
-		Idempotent     bool
-		IdempotencyKey string
-		Fingerprint    []byte
-		Service        string
-		Hash           uint64
-		TimeoutUS      uint64
-		MaxBody        int64
-		Method         string
-		URI            string
-		Header         http.Header
-		Body           []byte
-	}
-	wireResult struct {
-		_       struct{} `cbor:",toarray"`
-		Outcome string
-		Reason  string
-		RetryMS uint32
-		Status  int
-		Header  http.Header
-		Body    []byte
-		// Waited reports whether the request waited for a slot.
-		Waited bool
-	}
-)
+// wireJob is a request between entry hosts.
+type wireJob struct {
+	_              struct{} `cbor:",toarray"`
+	Caller         string
+	Class          string
+	Route          string
+	Idempotent     bool
+	IdempotencyKey string
+	Fingerprint    []byte
+	Service        string
+	Hash           uint64
+	TimeoutUS      uint64
+	MaxBody        int64
+	Method         string
+	URI            string
+	Header         http.Header
+	Body           []byte
+}
 
 // maxRelayTimeout limits the timeout of a relayed request.
 const maxRelayTimeout = 10 * time.Minute
 
-// maxStatusCode is the highest HTTP status code.
-const maxStatusCode = 599
-
 func encodeJob(now time.Time, j *job) ([]byte, error) {
 	r := &j.request
 	return cbor.Marshal(&wireJob{
@@ -91,37 +76,12 @@
 	return j, nil
 }
 
-func encodeResult(result outcome.Result, waited bool) ([]byte, error) {
-	m := wireResult{Outcome: string(outcome.Of(result)), Reason: string(outcome.ReasonOf(result)), Waited: waited}
-	switch r := result.(type) {
-	case outcome.Response:
-		m.Status, m.Header, m.Body = r.Status, r.Header, r.Body
-	case outcome.NotRunFailure:
-		m.RetryMS = uint32(r.RetryAfter.Milliseconds())
-	}
-	return cbor.Marshal(&m)
-}
-
+// decodeResult reads a result of another entry host.
 func decodeResult(body []byte) (result outcome.Result, waited bool, err error) {
-	var m wireResult
-	if err := cbor.Unmarshal(body, &m); err != nil {
-		return nil, false, fmt.Errorf("%w: %w", errMalformed, err)
-	}
-	switch outcome.Outcome(m.Outcome) {
-	case outcome.Done:
-		if m.Status < http.StatusOK || m.Status > maxStatusCode {
-			return nil, false, errMalformed
-		}
-		result = outcome.Response{Status: m.Status, Header: forward.SanitizeHeader(m.Header), Body: m.Body}
-	case outcome.NotRun:
-		result = outcome.NotRunFailure{
-			Reason:     outcome.Reason(m.Reason),
-			RetryAfter: time.Duration(m.RetryMS) * time.Millisecond,
-		}
-	case outcome.Unknown:
-		result = outcome.UnknownFailure{Reason: outcome.Reason(m.Reason)}
-	default:
-		return nil, false, errMalformed
+	result, waited, err = relay.DecodeResult(body)
+	if r, ok := result.(outcome.Response); ok {
+		r.Header = forward.SanitizeHeader(r.Header)
+		result = r
 	}
-	return result, m.Waited, nil
+	return result, waited, err
 }
--- a/internal/entry/wire_test.go
+++ b/internal/entry/wire_test.go
@@ -9,6 +9,7 @@
 
 	"citrontray.example/citrontray/internal/forward"
 	"citrontray.example/citrontray/internal/outcome"
+	"citrontray.example/citrontray/internal/relay"
 )
 
 func TestJobRoundTrip(t *testing.T) {
@@ -40,7 +41,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			body, err := encodeResult(test, true)
+			body, err := relay.EncodeResult(test, true)
 			assert.NilError(t, err)
 			got, waited, err := decodeResult(body)
 			assert.NilError(t, err)
@@ -53,7 +54,7 @@
 func FuzzDecode(f *testing.F) {
 	body, _ := encodeJob(time.Unix(1000, 0), &job{deadline: time.Unix(1001, 0)})
 	f.Add(body)
-	body, _ = encodeResult(outcome.Response{Status: 200, Body: []byte("x")}, false)
+	body, _ = relay.EncodeResult(outcome.Response{Status: 200, Body: []byte("x")}, false)
 	f.Add(body)
 	f.Fuzz(func(t *testing.T, body []byte) {
 		if j, err := decodeJob(time.Unix(1000, 0), body); err == nil && j.deadline.After(time.Unix(1000, 0).Add(maxRelayTimeout)) {
