A target is down for all hosts only if several hosts fail to reach it

Attempts without a response slowed a target for all hosts, however often the same host reported them.

A home now keeps failures by host. A host that could not connect gets no slot of that target for a second; the target counts as down once two hosts failed and it responded to none since their attempts began. Further attempts without a response of one host are no evidence while the target responds to others.

TestConnectFailuresOfOneHost fails without the change (one host's failure refused all).

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -282,32 +282,49 @@
 	}
 	switch result {
 	case ResultUnreachable, ResultUnused, ResultTimeout, ResultCut:
-	case ResultServed, ResultFailed, ResultBusy, ResultMisdirected:
+	case ResultMisdirected:
 		p.breakers.reset(s.Zone)
+	case ResultServed, ResultFailed, ResultBusy:
+		p.breakers.reset(s.Zone)
+		s.responded(now, t.key.host)
 	}
 	switch result {
 	case ResultServed:
-		s.connectFailures, s.servedAt = 0, now
+		s.servedAt = now
 		if t.queued || t.cold {
 			break // no sample of the service time
 		}
 		p.class(t.class).add(took)
 		s.observe(now, ratio, false)
-	case ResultFailed, ResultCut:
-		s.connectFailures = 0
+	case ResultFailed, ResultBusy:
 		slow, _ := s.decayed(now)
 		s.observe(now, slow, true)
+	case ResultCut:
+		if s.paths.noResponse(now, t.key.host) {
+			slow, _ := s.decayed(now)
+			s.observe(now, slow, true)
+		}
 	case ResultTimeout:
-		s.observe(now, max(ratio, 1), true)
-	case ResultBusy:
-		s.connectFailures = 0
-		slow, _ := s.decayed(now)
-		s.observe(now, slow, true)
-	case ResultUnreachable:
-		s.connectFailed(now)
-		if p.isolated(now) {
-			p.breakers.connectFailed(now, s.Zone, s.Target)
+		if s.paths.noResponse(now, t.key.host) {
+			s.observe(now, max(ratio, 1), true)
 		}
+	case ResultUnreachable:
+		p.connectFailed(now, t)
 	case ResultMisdirected, ResultUnused:
 	}
 }
+
+// connectFailed records that a host could not connect to the target of its ticket. An
+// isolated host has no other host's evidence.
+func (p *pool) connectFailed(now time.Time, t *ticket) {
+	s := t.target
+	hosts := s.paths.connectFailed(now, t.assignedAt, t.key.host)
+	if p.isolated(now) {
+		s.connectFailed(now, hosts)
+		p.breakers.connectFailed(now, s.Zone, s.Target)
+		return
+	}
+	if hosts >= minDownHosts {
+		s.connectFailed(now, hosts)
+	}
+}
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -78,9 +78,10 @@
 	updatedAt time.Time
 	// warmUpUntil is the end of the target's warm-up after its start.
 	warmUpUntil time.Time
-	// downUntil is the end of the backoff after a failure to connect.
+	// downUntil is the end of the backoff after hosts failed to connect.
 	downUntil       time.Time
 	connectFailures int
+	paths           targetPaths
 	// servedAt is when a request last ended with ResultServed.
 	servedAt time.Time
 	// usable is false for targets that get no new requests.
@@ -103,6 +104,7 @@
 func (s *targetState) update(row place.TargetRow, now time.Time) {
 	if row.Incarnation != s.Incarnation || row.Addr != s.Addr {
 		s.slowdown, s.failureRate, s.connectFailures, s.downUntil, s.leaving = 1, 0, 0, time.Time{}, false
+		s.paths = targetPaths{}
 	}
 	if row.WarmupLeft > 0 {
 		s.warmUpUntil = now.Add(row.WarmupLeft)
@@ -135,10 +137,17 @@
 	s.updatedAt = now
 }
 
-// connectFailed records a failure to connect and starts the backoff.
-func (s *targetState) connectFailed(now time.Time) {
+// connectFailed records that hosts failed to connect, so that the target itself is probably
+// down, and starts the backoff.
+func (s *targetState) connectFailed(now time.Time, hosts int) {
 	s.downUntil = now.Add(min(minBackoff<<min(s.connectFailures, maxDoublings), maxBackoff))
-	s.connectFailures++
+	s.connectFailures = max(s.connectFailures+1, hosts)
+}
+
+// responded records that the target responded to a host: it is not down.
+func (s *targetState) responded(now time.Time, host place.Host) {
+	s.connectFailures, s.downUntil = 0, time.Time{}
+	s.paths.responded(now, host)
 }
 
 // timeFactor returns the expected time of a request at the target over the mean of
