Requests for targets that a host can't reach go through a host that does

Such a host asked for tickets that it could not use, each of which held a slot for the 0.3 s of a failed attempt to connect, and had no other way.

internal/path keeps what a host's own attempts show about its paths: a lost path by target, and all paths to a service once three of its targets are unreachable with no response in between. Lost paths are probed in the background, four at a time. An attempt without a response for 0.25 s makes a host check its paths, if no target of that service has responded meanwhile. A request for a target without a path is passed to another host over the peer connection, of the same zone first, at most once, with its deadline, its attempts so far and the version of the configuration; a host that has no path either refuses it, and the next one gets it.

--- a/internal/dispatch/backoff.go
+++ b/internal/dispatch/backoff.go
@@ -66,12 +66,12 @@
 	return t.leaving, max(t.pauseUntil.Sub(now), 0)
 }
 
-// maxExcluded bounds the excluded targets in an Acquire so that it fits a datagram.
+// MaxExcluded bounds the excluded targets in an Acquire so that it fits a datagram.
 // Targets beyond the bound are checked again when a slot is assigned.
-const maxExcluded = 8
+const MaxExcluded = 8
 
 // Excluded returns the targets among rows that should get no new request, at most
-// maxExcluded of them.
+// MaxExcluded of them.
 func (b *Backoffs) Excluded(now time.Time, rows []place.TargetRow) []place.Target {
 	if len(b.targets) == 0 {
 		return nil
@@ -84,7 +84,7 @@
 		}
 	}
 	slices.Sort(out)
-	return out[:min(len(out), maxExcluded)]
+	return out[:min(len(out), MaxExcluded)]
 }
 
 // leavingRetention is how long the leaving signal of an unlisted target is kept: a
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -217,6 +217,18 @@
 	return nil
 }
 
+// CloseIdle closes the idle connections.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.open -= len(idle)
+	p.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
+}
+
 // Open returns the number of open connections.
 func (p *Pool) Open() int {
 	p.mu.Lock()
@@ -227,11 +239,7 @@
 // Close closes the idle connections. Those in use are closed after their request.
 func (p *Pool) Close() {
 	p.mu.Lock()
-	idle := p.idle
-	p.idle, p.closed = nil, true
-	p.open -= len(idle)
+	p.closed = true
 	p.mu.Unlock()
-	for _, c := range idle {
-		_ = c.Close()
-	}
+	p.CloseIdle()
 }
--- a/internal/host/backoff.go
+++ b/internal/host/backoff.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"log/slog"
 	"slices"
 	"time"
@@ -34,18 +35,28 @@
 	return nil
 }
 
+// excluded returns the targets among rows, all those of a service, that should get no request
+// from this host: they are leaving or paused, or it has no path to them.
+func (j *job) excluded(now time.Time, rows []place.TargetRow) []place.Target {
+	out := append(j.host.dispatcher.excluded(now, rows), j.host.paths.lostTargets(rows)...)
+	return out[:min(len(out), dispatch.MaxExcluded)]
+}
+
 // checkSlot returns the step to take instead of using a slot of a target that is
 // leaving or paused, nil if the slot may be used.
-func (j *job) checkSlot(m dispatch.Assigned, owner place.Target) step {
+func (j *job) checkSlot(ctx context.Context, m dispatch.Assigned, owner place.Target) step {
 	now, v := time.Now(), j.host.views.view()
 	row := v.targets[m.Target]
 	if owner != "" {
 		return j.checkBackoff(now, row)
 	}
 	leaving, pause := j.host.dispatcher.backoff(now, row)
+	lost := j.host.paths.lost(v, m.Target)
 	switch {
-	case leaving.IsZero() && pause == 0 && !v.isLeaving(m.Target):
+	case leaving.IsZero() && pause == 0 && !lost && !v.isLeaving(m.Target):
 		return nil
+	case lost && slices.Contains(j.tried, m.Target):
+		return j.relay(ctx, now, "")
 	case slices.Contains(j.tried, m.Target):
 		return finishStep{outcome.NotRunFailure{Reason: outcome.Unreachable, RetryAfter: max(pause, defaultRetryAfter)}}
 	}
--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -406,6 +406,13 @@
 	return d.reach.Partitioned(now, d.self.Zone, zones)
 }
 
+// reachable reports whether a host is neither silent nor stopping.
+func (d *dispatcher) reachable(host place.Host) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.client.Suspects(host) && !d.client.Stopped(host)
+}
+
 // announceStop announces to all hosts that this one stops.
 func (d *dispatcher) announceStop(hosts []member.Host) {
 	d.mu.Lock()
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -4,6 +4,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -127,12 +128,20 @@
 // pathOf returns the path as sent by the client, still escaped.
 func pathOf(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
-		path, _, _ := strings.Cut(r.RequestURI, "?")
-		return path
+		return pathOfURI(r.RequestURI)
 	}
 	return r.URL.EscapedPath()
 }
 
+// pathOfURI returns the path in a request line, still escaped.
+func pathOfURI(uri string) string {
+	if u, err := url.Parse(uri); err == nil && u.IsAbs() {
+		return u.EscapedPath()
+	}
+	p, _, _ := strings.Cut(uri, "?")
+	return p
+}
+
 // headerBytes returns the approximate size of a request's head.
 func headerBytes(r *http.Request) int {
 	const separators = 4 // ": " and CRLF
@@ -205,6 +214,9 @@
 	if j.refusal != 0 {
 		attrs = append(attrs, slog.String("refusal", j.refusal.String()))
 	}
+	if j.relayedTo != "" {
+		attrs = append(attrs, slog.String("relayed", string(j.relayedTo)))
+	}
 	if d := j.denied; d != nil {
 		attrs = append(attrs, slog.Float64("budget", d.Left), slog.Float64("limit", d.Limit), slog.Int("hosts", d.Hosts), slog.Bool("sharing", d.Sharing))
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -76,6 +76,8 @@
 	quarantine     *quarantiner
 	clientTimeouts *clientTimeouts
 	idleLimits     *idleLimits
+	paths          *pathMonitor
+	relayer        *relayer
 	splitter       *traffic.Splitter
 	keyCounter     *keyCounter
 	bodyMemory     *semaphore.Weighted
@@ -119,6 +121,7 @@
 	h.setBounds(env.Site.Bounds)
 	h.views = newViewBuilder(h.replica, h.log, env.DecodeConfig)
 	h.registrar = newRegistrar(h)
+	h.paths, h.relayer = newPathMonitor(h), newRelayer(h)
 	h.quarantine = newQuarantiner(h, env.Site.Quarantine)
 	if err := h.openSockets(); err != nil {
 		return nil, err
@@ -139,6 +142,7 @@
 		return fmt.Errorf("host: open peer address: %w", err)
 	}
 	h.transport = link
+	link.Handle(peer.KindRelay, h.relayer.serve)
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(h.site.Ticket))
 	if err != nil {
 		return fmt.Errorf("host: open ticket address: %w", err)
@@ -233,7 +237,7 @@
 	defer cancel()
 	group, background := errgroup.WithContext(background)
 	for _, part := range []func(context.Context) error{
-		h.transport.Run, h.node.Run, h.registrar.run, h.dispatcher.run, h.dispatcher.loop, h.loopViews, h.loopReports, h.loopConnPools, h.loopSettings, h.quarantine.loop, h.quarantine.loopPublish, h.quarantine.saver.loop, h.env.LogHandler.Run,
+		h.transport.Run, h.node.Run, h.registrar.run, h.dispatcher.run, h.dispatcher.loop, h.loopViews, h.loopReports, h.loopConnPools, h.loopSettings, h.paths.loop, h.quarantine.loop, h.quarantine.loopPublish, h.quarantine.saver.loop, h.env.LogHandler.Run,
 	} {
 		group.Go(func() error { return part(background) })
 	}
--- a/internal/host/job.go
+++ b/internal/host/job.go
@@ -89,6 +89,10 @@
 	tableAge time.Duration
 	// cold is set if the key is still slow at its owner according to the table.
 	cold bool
+	// relayed is set if another host passed the request to this one, relayedTo is the host
+	// that this one passed it to.
+	relayed   bool
+	relayedTo place.Host
 }
 
 // step is the next action for a request.
@@ -175,6 +179,9 @@
 	if s != nil {
 		return s
 	}
+	if j.needsRelay(v, owner) {
+		return j.relay(ctx, now, owner)
+	}
 	placed, s := j.acquireTicket(ctx, now, v, pool, owner)
 	if s != nil {
 		return s
@@ -230,7 +237,7 @@
 	d := j.host.dispatcher
 	tried := j.tried
 	if owner == "" {
-		tried = append(d.excluded(now, v.services[j.service.Name]), tried...)
+		tried = append(j.excluded(now, v.services[j.service.Name]), tried...)
 	}
 	id, reply := d.acquire(now, dispatch.Acquire{
 		Pool: pool, Class: j.route.Name, Priority: j.route.Priority,
@@ -242,7 +249,7 @@
 	for {
 		select {
 		case end := <-reply:
-			return j.handleReply(now, id, end, owner)
+			return j.handleReply(ctx, now, id, end, owner)
 		case <-ctx.Done():
 			if d.cancel(time.Now(), id) {
 				return ticket{}, finishStep{outcome.NotRunFailure{Reason: outcome.CallerGone}}
@@ -278,13 +285,13 @@
 }
 
 // handleReply handles the final reply of a home.
-func (j *job) handleReply(asked time.Time, id dispatch.TicketID, end ticketReply, owner place.Target) (ticket, step) {
+func (j *job) handleReply(ctx context.Context, asked time.Time, id dispatch.TicketID, end ticketReply, owner place.Target) (ticket, step) {
 	waited := time.Since(asked)
 	j.queued += waited
 	j.home, j.ticketID = end.home, id
 	switch m := end.Message.(type) {
 	case dispatch.Assigned:
-		if s := j.checkSlot(m, owner); s != nil {
+		if s := j.checkSlot(ctx, m, owner); s != nil {
 			// This host may know more recent state than the home.
 			j.host.log.Info("Slot not used, target is leaving or paused.", slog.String("request", j.request.ID),
 				slog.String("target", string(m.Target)), slog.String("home", string(end.home)), slog.Uint64("ticket", uint64(id)))
@@ -344,8 +351,11 @@
 	if t.isolated {
 		j.request.MaxIdle = isolatedMaxIdle
 	}
-	known, incarnation := h.quarantine.table.Suspicion(j.fingerprint), h.views.view().targets[t.target].Incarnation
+	known := h.quarantine.table.Suspicion(j.fingerprint)
+	row := h.views.view().targets[t.target]
+	stalled := time.AfterFunc(stallTimeout, func() { h.paths.stalled(time.Now(), start, row) })
 	result := h.connPools.get(t.Addr, j.service).Do(ctx, &j.request, start)
+	stalled.Stop()
 	took := time.Since(start)
 	if retry {
 		j.recordRetry(time.Now(), result)
@@ -357,7 +367,8 @@
 	signal := signalOf(result)
 	j.recordLimit(start, t, signal.Limit)
 	h.dispatcher.release(time.Now(), t.id, end, took, signal.Limit)
-	h.dispatcher.recordAttempt(h.views.view().targets[t.target].Zone, end)
+	h.dispatcher.recordAttempt(row.Zone, end)
+	h.paths.record(time.Now(), start, row, end)
 	j.lastTarget = t.target
 	if now := time.Now(); h.idleLimits.observe(now, j.service.Name, result) {
 		h.log.Info("Idle connection to target was dead, lowering the idle limit.", slog.String("request", j.request.ID),
@@ -370,7 +381,7 @@
 		j.logAttempt(t, end, took, result)
 	}
 	if isCut(result) {
-		j.checkEnd(ctx, &endCheck{job: j, ticket: t, took: took, known: known, incarnation: incarnation})
+		j.checkEnd(ctx, &endCheck{job: j, ticket: t, took: took, known: known, incarnation: row.Incarnation})
 	}
 	if _, ok := result.(forward.Completed); ok {
 		h.quarantine.served(time.Now(), j)
--- a/internal/host/pools.go
+++ b/internal/host/pools.go
@@ -65,6 +65,16 @@
 	return pool.Pool
 }
 
+// closeIdle closes the idle connections to an address.
+func (p *connPools) closeIdle(addr netip.AddrPort) {
+	p.mu.Lock()
+	pool := p.byAddr[addr]
+	p.mu.Unlock()
+	if pool != nil {
+		pool.CloseIdle()
+	}
+}
+
 // closeUnused closes the pools of addresses that were not used for a while.
 func (p *connPools) closeUnused(now time.Time) {
 	p.mu.Lock()
--- a/internal/host/servers.go
+++ b/internal/host/servers.go
@@ -128,6 +128,7 @@
 	if err := s.front.Shutdown(stopCtx); err != nil {
 		h.log.Warn("Requests aborted at the end of the stop.", slog.Any("error", err))
 	}
+	h.relayer.awaitServed(stopCtx)
 	h.awaitSuccessors(stopCtx)
 	stopControllers()
 	h.log.Info("Stopped.", millisAttr("took", time.Since(start)))
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -152,26 +152,42 @@
 	return s != nil && len(s.unreachable) > 0 && len(s.unreachable) >= min(lostThreshold, targets)
 }
 
-// Lost reports whether a connection to the target could not be made lately.
+// Lost reports whether the last attempt to connect to the target failed.
 func (t *Table) Lost(name place.Target) bool {
 	p := t.paths[name]
 	return p != nil && p.lost
 }
 
-// LostTargets returns the targets among rows whose paths are lost.
+// LostTargets returns the targets among rows, all those of a service, whose paths are lost:
+// all of them if the service is.
 func (t *Table) LostTargets(rows []place.TargetRow) []place.Target {
-	if len(t.paths) == 0 {
+	if len(t.paths) == 0 || len(rows) == 0 {
 		return nil
 	}
+	all := t.ServiceLost(key.Service(rows[0].Service), len(rows))
 	var out []place.Target
 	for i := range rows {
-		if t.Lost(rows[i].Target) {
+		if all || t.Lost(rows[i].Target) {
 			out = append(out, rows[i].Target)
 		}
 	}
 	return out
 }
 
+// NextProbe returns when Probes has to be called next, zero for never.
+func (t *Table) NextProbe() time.Time {
+	var next time.Time
+	if t.probing >= maxProbes {
+		return next
+	}
+	for _, p := range t.paths {
+		if !p.probing && (next.IsZero() || p.probeAt.Before(next)) {
+			next = p.probeAt
+		}
+	}
+	return next
+}
+
 // Probes returns the targets whose paths are to be probed now. Each must be followed by
 // Probed.
 func (t *Table) Probes(now time.Time) []place.TargetRow {
@@ -193,20 +209,23 @@
 	return out
 }
 
-// Probed records the result of a probe that started at sentAt. It reports whether the path
-// was lost or regained by it.
-func (t *Table) Probed(now, sentAt time.Time, row place.TargetRow, reached bool) bool {
+// Probed records the result of a probe that started at sentAt. Silent stands for a probe
+// that could not be made. It reports whether the path was lost or regained by it.
+func (t *Table) Probed(now, sentAt time.Time, row place.TargetRow, e Event) bool {
 	t.probing--
 	p := t.paths[row.Target]
 	if p == nil {
 		return false // a request got a response meanwhile
 	}
 	p.probing = false
-	if !reached {
-		return t.Record(now, sentAt, row, Unreachable)
-	}
-	if p.row.Addr != row.Addr {
+	switch {
+	case p.row.Addr != row.Addr:
 		return false
+	case e == Silent:
+		p.probeAt = now.Add(minProbeInterval)
+		return false
+	case e == Unreachable:
+		return t.Record(now, sentAt, row, Unreachable)
 	}
 	changed := t.Record(now, sentAt, row, Responded)
 	// The other paths of the service are probed at once, as a partition has healed.
--- a/internal/peer/policy.go
+++ b/internal/peer/policy.go
@@ -8,8 +8,10 @@
 		return role == RoleLead
 	case KindSync:
 		return role == RoleLead || role == RoleEntry || role == RoleOperator
-	case KindLoad, KindRelay:
+	case KindLoad:
 		return role == RoleEntry
+	case KindRelay:
+		return role == RoleEntry || role == RoleLead
 	case KindStatus:
 		return true
 	}
@@ -24,7 +26,7 @@
 	case KindCell, KindSync, KindLoad:
 		return role == RoleLead
 	case KindRelay:
-		return role == RoleEntry
+		return role == RoleEntry || role == RoleLead
 	case KindStatus:
 		return role == RoleLead || role == RoleEntry
 	}
