A leader without paths to the targets hands over to a host that has some

While a leader was cut off from the targets its orders reached none of them, and all ranges lost their owners 2.5 s later on every host: in TestHostsCutFromTargets 43 of 120 and 129 of 360 requests for keys were served meanwhile.

A leader whose orders fail at half of the owners, or which has no path to the service, hands over as in a planned stop, if targets served requests through other hosts within the last second: otherwise nobody else reaches them, either. It resets its order connections first. Hosts without paths campaign 1.5 s after the others, and the notice of a leader that has handed over makes candidates campaign at once. The document of a leader with a grant that got no response now says that prior leaders may still renew: such a grant may be carried out after the next leader has started. A core that had stopped sending stayed so in its next term; random runs with hosts cut off from all targets found that.

TestHostsCutFromTargets, the leader, reset: passes (one run).

--- a/internal/host/campaign.go
+++ b/internal/host/campaign.go
@@ -24,6 +24,9 @@
 	// incumbentDelay is the additional delay in favor of a running leader that lost its
 	// entry.
 	incumbentDelay = 700 * time.Millisecond
+	// cutOffDelay is the additional delay of a host that has no path to the targets: others
+	// may have one.
+	cutOffDelay = 1500 * time.Millisecond
 	// leaderListLag is how long the list of hosts may lack a new leader.
 	leaderListLag = 2 * time.Second
 	// campaignBackoff is the mean wait after a campaign that failed because of the
@@ -72,13 +75,13 @@
 		if c.leaderNoticeAt.After(since) {
 			since = c.leaderNoticeAt
 		}
-		silent := now.Sub(since) > leaderNoticeTimeout+time.Duration(rank)*candidateDelay
+		silent := now.Sub(since) > leaderNoticeTimeout+time.Duration(rank)*candidateDelay+c.cutOffWait()
 		return own || silent && rank >= 0 && rank < candidateCount && now.Sub(c.campaignedAt) > candidateDelay
 	}
 	if c.noLeaderSince.IsZero() || rank < 0 {
 		return false
 	}
-	wait := time.Duration(rank) * candidateDelay
+	wait := time.Duration(rank)*candidateDelay + c.cutOffWait()
 	if c.storeRestored(v) {
 		// Only the last leader knows the owners, so others wait longer.
 		if now.Sub(c.leaderNoticeAt) < leaderNoticeTimeout {
@@ -92,6 +95,14 @@
 	return now.Sub(c.noLeaderSince) >= wait
 }
 
+// cutOffWait returns the additional delay of this host's campaigns.
+func (c *controller) cutOffWait() time.Duration {
+	if c.host.paths.serviceLost(c.service) {
+		return cutOffDelay
+	}
+	return 0
+}
+
 // storeRestored reports whether the store's era is later than that of the last routing
 // table.
 func (c *controller) storeRestored(v *view) bool {
--- a/internal/host/controller.go
+++ b/internal/host/controller.go
@@ -101,6 +101,8 @@
 	noLeaderSince time.Time
 	campaigning   bool
 	resigning     bool
+	// yielding is set while this host hands over because it does not reach the targets.
+	yielding bool
 	// campaignedAt is the time of the last campaign. No campaign starts before
 	// pausedUntil.
 	campaignedAt, pausedUntil time.Time
--- a/internal/host/notice.go
+++ b/internal/host/notice.go
@@ -105,6 +105,9 @@
 			c.sendNotice(n.host, noticeStopped)
 		}
 	case noticeStopped:
+		if t := c.host.views.view().tables[c.service]; !c.core.Leading() && t != nil && t.Leader == n.host && t.LeaderIncarnation == n.incarnation {
+			c.leaderNoticeAt = time.Time{} // it has handed over
+		}
 		if c.core.Leading() && n.host == c.predecessor.host && n.incarnation == c.predecessor.incarnation && !c.predecessor.ended {
 			c.log.Info("Predecessor has stopped.", slog.String("host", string(n.host)), slog.Uint64("term", uint64(c.core.Term())))
 			c.predecessorEnded(now)
@@ -156,6 +159,15 @@
 	candidateCount = 3
 )
 
+// announceStopped notifies the candidates that this host has handed over.
+func (c *controller) announceStopped() {
+	for i, name := range c.host.views.view().candidates(c.service) {
+		if i < candidateCount && name != c.host.site.Host {
+			c.sendNotice(name, noticeStopped)
+		}
+	}
+}
+
 // announceLeadership sends notices to the candidates and asks the predecessor to stop.
 func (c *controller) announceLeadership(now time.Time, v *view) {
 	if now.Sub(c.announcedAt) < noticeInterval {
--- a/internal/host/orderclient.go
+++ b/internal/host/orderclient.go
@@ -123,13 +123,22 @@
 	return conn.Release(ctx, e.Release)
 }
 
-func (c *orderClient) close() {
+// reset closes all connections, which ends the orders in flight. Their numbers are not used
+// again.
+func (c *orderClient) reset() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, conn := range c.conns {
+	for name, conn := range c.conns {
 		if conn.OrderConn != nil {
 			_ = conn.Close() // reset in any case
 		}
+		c.conns[name] = &orderConn{number: conn.number}
 	}
+}
+
+func (c *orderClient) close() {
+	c.reset()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.conns = make(map[place.Target]*orderConn)
 }
--- a/internal/host/path_test.go
+++ b/internal/host/path_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -288,6 +289,9 @@
 				assert.Check(t, others.ratio() >= minOthers, "%s at hosts that are not cut: %v", path, others)
 				assert.Check(t, atCut[path].ratio() >= minCut*others.ratio(), "%s at cut hosts: %v", path, atCut[path])
 			}
+			if t.Failed() {
+				d.logFailures()
+			}
 			for _, h := range cut {
 				h.paths.heal()
 			}
@@ -300,6 +304,17 @@
 	}
 }
 
+// logFailures prints what hosts logged but for requests that were served.
+func (d *deployment) logFailures() {
+	for _, h := range d.hosts {
+		for line := range strings.SplitSeq(h.logs.String(), "\n") {
+			if !strings.Contains(line, `"outcome":"done"`) {
+				d.t.Logf("%s: %s", h.site.Host, line)
+			}
+		}
+	}
+}
+
 // others returns the hosts that lead no service.
 func (d *deployment) others() []*testHost {
 	leader := d.leader()
--- a/internal/host/paths.go
+++ b/internal/host/paths.go
@@ -87,6 +87,14 @@
 	return m.table.Lost(name) || m.table.ServiceLost(service, len(v.services[service]))
 }
 
+// serviceLost reports whether this host has no path to any target of a service.
+func (m *pathMonitor) serviceLost(service key.Service) bool {
+	targets := len(m.host.views.view().services[service])
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.ServiceLost(service, targets)
+}
+
 // lostTargets returns the targets among rows, all those of a service, to which this host has
 // no path.
 func (m *pathMonitor) lostTargets(rows []place.TargetRow) []place.Target {
--- a/internal/host/resign.go
+++ b/internal/host/resign.go
@@ -11,12 +11,35 @@
 	"citrontray.example/citrontray/internal/platform"
 )
 
-// resignIfDue hands leadership over when this host stops. During a store outage no
-// other host can take over, so this host keeps renewing grants until the outage ends.
+// relayedAge is how recently a target must have served a request through another host to
+// show that other hosts reach the targets.
+const relayedAge = time.Second
+
+// cutOff reports whether this host does not reach the targets that it leads, while other
+// hosts do.
+func (c *controller) cutOff(now time.Time) bool {
+	return now.Sub(c.host.relayer.lastServed(c.service)) < relayedAge && (c.core.Unreached() || c.host.paths.serviceLost(c.service))
+}
+
+// resignIfDue hands leadership over when this host stops, or does not reach the targets.
+// During a store outage no other host can take over, so this host keeps renewing grants
+// until the outage ends.
 func (c *controller) resignIfDue(ctx context.Context, now time.Time) {
-	if c.resigning || !c.host.stopping.Load() || !c.core.Leading() {
+	if c.resigning {
+		return
+	}
+	if !c.core.Leading() {
+		c.yielding = false
 		return
 	}
+	if !c.host.stopping.Load() && !c.yielding {
+		if !c.cutOff(now) || !c.core.LeaseFresh(now) {
+			return
+		}
+		c.log.Warn("No path to the targets, handing leadership over.", slog.Uint64("term", uint64(c.core.Term())))
+		c.yielding = true
+		c.orders.reset() // ends the orders in flight
+	}
 	if !c.core.LeaseFresh(now) {
 		c.core.Resume()
 		return
@@ -26,7 +49,7 @@
 		return
 	}
 	c.resigning = true
-	t := &resignation{controller: c, doc: c.core.Doc(now), expect: c.core.Revision(), leaderRevision: c.leaderRevision}
+	t := &resignation{controller: c, doc: c.core.FinalDoc(now), expect: c.core.Revision(), leaderRevision: c.leaderRevision}
 	c.tasks.Add(1)
 	go t.run(ctx)
 }
@@ -46,9 +69,13 @@
 	defer t.tasks.Done()
 	err := t.resign(ctx)
 	t.post(func(now time.Time) bool {
+		if t.yielding {
+			t.yielding, t.pausedUntil = false, now.Add(cutOffDelay)
+		}
 		switch {
 		case err == nil:
 			t.log.Info("Leadership handed over.", slog.Uint64("term", uint64(t.core.Term())))
+			t.announceStopped()
 			t.core.StepDown()
 		case errors.Is(err, platform.ErrUnavailable):
 			// Certainly not committed: this host keeps leading until the outage ends.
@@ -71,7 +98,6 @@
 }
 
 func (t *resignation) resign(ctx context.Context) error {
-	t.doc.Leader, t.doc.LeaderIncarnation = "", 0
 	value, err := t.doc.Encode()
 	if err != nil {
 		return err
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"citrontray.example/citrontray/internal/key"
@@ -300,7 +301,7 @@
 
 // reset drops the state of a term.
 func (c *Core) reset() {
-	c.leading, c.pending, c.rows = false, nil, nil
+	c.leading, c.stopping, c.pending, c.rows = false, false, nil, nil
 	c.lastFence = 0
 	c.targetConns = make(map[place.Target]*targetConn)
 	c.plannedAt, c.rebalancedAt, c.priorMayRenewUntil = time.Time{}, time.Time{}, time.Time{}
@@ -317,7 +318,7 @@
 	}
 }
 
-// Stop ends all sending until Resume. Idle reports when no grant and no write is in
+// Stop ends all sending until Resume or the next term. Idle reports when no grant and no write is in
 // flight any more.
 func (c *Core) Stop() { c.stopping = true }
 
@@ -345,6 +346,36 @@
 	return true
 }
 
+// Unreached reports whether orders fail at half or more of the targets that own ranges.
+func (c *Core) Unreached() bool {
+	owners, failing := make(map[place.Target]bool), 0
+	for _, r := range c.rows {
+		if r.Target == "" || owners[r.Target] {
+			continue
+		}
+		owners[r.Target] = true
+		if tc := c.targetConns[r.Target]; tc != nil && !tc.failingSince.IsZero() {
+			failing++
+		}
+	}
+	return failing > 0 && 2*failing >= len(owners)
+}
+
+// unresolved reports whether a target may still carry out a grant that got no response.
+func (c *Core) unresolved() bool {
+	return slices.ContainsFunc(c.rows, func(r *row) bool { return r.unacked != 0 && r.unacked >= r.acked })
+}
+
+// FinalDoc returns the document of a leader that hands over. It names no leader. A grant
+// without a response counts like those of a prior leader that may still renew: it may be
+// carried out after the next leader has started.
+func (c *Core) FinalDoc(now time.Time) Doc {
+	d := c.Doc(now)
+	d.Leader, d.LeaderIncarnation = "", 0
+	d.PriorMayRenew = d.PriorMayRenew || c.unresolved()
+	return d
+}
+
 // Doc returns the document as it would be written now.
 func (c *Core) Doc(now time.Time) Doc {
 	d := Doc{
--- a/internal/owner/random_test.go
+++ b/internal/owner/random_test.go
@@ -48,6 +48,10 @@
 // has this form.
 func (w *sim) hasLimits() bool { return w.seed%32 == 14 }
 
+// hasCuts reports whether hosts lose their paths to all targets in a run. None of the kept
+// seeds has this form.
+func (w *sim) hasCuts() bool { return w.seed%4 == 3 }
+
 // limitedTargets returns the targets that have a rate limit now: a third of them,
 // others every two seconds. It draws no random number.
 func (w *sim) limitedTargets() map[place.Target]bool {
@@ -71,6 +75,12 @@
 	}
 	t := w.targets[w.rng.IntN(len(w.targets))]
 	duration := w.randomDuration(200*time.Millisecond, 9*time.Second)
+	if w.hasCuts() && w.chance(0.25) {
+		w.tracef("%s can't reach the targets %v", h.name, duration)
+		h.cutOff = true
+		w.after(duration, func() { h.cutOff = false })
+		return
+	}
 	kinds := 14
 	if w.seed%2 == 0 {
 		kinds += 2 // added after the first kept seed
--- a/internal/owner/simhost_test.go
+++ b/internal/owner/simhost_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	"citrontray.example/citrontray/internal/key"
@@ -29,6 +30,9 @@
 	stopping, resigning bool
 	// priorMayRenew is true if leaders before the predecessor may still send orders.
 	priorMayRenew bool
+	// cutOff is true while this host can't reach any target. yielding is true while it hands
+	// over because of that.
+	cutOff, yielding bool
 	// unreachableTarget is a target that this host can't reach.
 	unreachableTarget *simTarget
 	leaderRev         platform.Revision
@@ -56,7 +60,7 @@
 func (h *simHost) boot() {
 	h.core = New(simConfig(h))
 	h.inFlight, h.campaigning, h.leaseEnd, h.campaignAt = 0, false, time.Time{}, time.Time{}
-	h.stopping, h.resigning = false, false
+	h.stopping, h.resigning, h.yielding = false, false, false
 	h.era, h.firstEra = h.sim.store.era, h.sim.store.era
 	h.conns = make(map[place.Target]simConn)
 	h.sim.store.incarnations[h.name] = h.incarnation
@@ -124,6 +128,7 @@
 		h.followStore()
 	}
 	if !h.core.Leading() {
+		h.yielding = false
 		return
 	}
 	h.core.ExtendLease(h.leaseEnd)
@@ -139,10 +144,12 @@
 	h.resign()
 }
 
-// resign ends leadership in a planned stop, as soon as the store accepts it.
+// resign ends leadership in a planned stop, or while the targets are out of reach, as soon as
+// the store accepts it.
 func (h *simHost) resign() {
 	w, inc, leaderRev := h.sim, h.incarnation, h.leaderRev
-	if !h.stopping || h.resigning {
+	h.yielding = h.yielding || h.core.Unreached() && h.core.LeaseFresh(w.now) && w.othersReach(h)
+	if !h.stopping && !h.yielding || h.resigning {
 		return
 	}
 	if !h.core.LeaseFresh(w.now) {
@@ -154,8 +161,7 @@
 		return
 	}
 	h.resigning = true
-	doc, expect := h.core.Doc(w.now), h.core.Revision()
-	doc.Leader, doc.LeaderIncarnation = "", 0
+	doc, expect := h.core.FinalDoc(w.now), h.core.Revision()
 	w.after(w.randomDuration(2*time.Millisecond, 20*time.Millisecond)+w.store.slow, func() {
 		s := &w.store
 		unreachable := !h.reachesStore()
@@ -171,12 +177,20 @@
 					h.core.Resume()
 					return
 				}
+				h.resigning, h.campaignAt = false, w.now.Add(w.randomDuration(0, 2*time.Second))
 				h.core.StepDown()
 			})
 		})
 	})
 }
 
+// othersReach reports whether a host that can't reach the targets finds another one that can.
+func (w *sim) othersReach(h *simHost) bool {
+	return h.cutOff && !h.isolated && slices.ContainsFunc(w.hosts, func(o *simHost) bool {
+		return !o.cutOff && !o.isolated && !o.down && !o.stopping && !w.now.Before(o.frozen)
+	})
+}
+
 func (w *sim) randomLoad() *partition.Load {
 	m := &partition.Meter{}
 	m.Decay(w.now)
@@ -223,6 +237,9 @@
 	}
 	if h.campaignAt.IsZero() {
 		h.campaignAt = w.now.Add(w.randomDuration(0, 400*time.Millisecond))
+		if h.cutOff {
+			h.campaignAt = h.campaignAt.Add(1500 * time.Millisecond)
+		}
 	}
 	if w.now.After(h.campaignAt) && !h.campaigning && !h.stopping {
 		h.campaign()
@@ -351,14 +368,14 @@
 	w, inc := h.sim, h.incarnation
 	bound := simConfig(h).OrderTimeout
 	t := w.targetAt(addr)
-	if h.isolated || t == nil || !t.up || t.unreachable || h.unreachableTarget == t {
+	if h.isolated || h.cutOff || t == nil || !t.up || t.unreachable || h.unreachableTarget == t {
 		wait := w.randomDuration(time.Millisecond, bound)
 		w.after(wait, func() { h.run(inc, func() { done(target.ErrNotSent) }) })
 		return
 	}
 	targetInc := t.row.Incarnation
 	w.after(w.randomDuration(time.Millisecond, 30*time.Millisecond), func() {
-		if !t.up || t.row.Incarnation != targetInc || t.unreachable || h.isolated || h.unreachableTarget == t {
+		if !t.up || t.row.Incarnation != targetInc || t.unreachable || h.isolated || h.cutOff || h.unreachableTarget == t {
 			w.after(bound, func() { h.run(inc, func() { done(target.ErrUnanswered) }) })
 			return
 		}
