Cut hosts do not put a target into backoff for all others

Hosts that are not cut were refused for up to 1.6 s at a time (110 of 119 and 115 of 120 served, all but one host cut): two cut hosts confirmed each other's failure to connect to a target that had just got a range, and each further failure of the same moment doubled the backoff.

A host that has lost its paths to a service no longer reports failures there to homes: it knows nothing about a target. Failures of attempts that started before a backoff do not extend it (TestBackoffOfBurst). A target that no other host reached a moment ago is tried through one again after 100 ms instead of 400.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -320,11 +320,11 @@
 	s := t.target
 	hosts := s.paths.connectFailed(now, t.assignedAt, t.key.host)
 	if p.isolated(now) {
-		s.connectFailed(now, hosts)
+		s.connectFailed(now, t.assignedAt, hosts)
 		p.breakers.connectFailed(now, s.Zone, s.Target)
 		return
 	}
 	if hosts >= minDownHosts {
-		s.connectFailed(now, hosts)
+		s.connectFailed(now, t.assignedAt, hosts)
 	}
 }
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -78,8 +78,11 @@
 	updatedAt time.Time
 	// warmUpUntil is the end of the target's warm-up after its start.
 	warmUpUntil time.Time
-	// downUntil is the end of the backoff after hosts failed to connect.
+	// downUntil is the end of the backoff after hosts failed to connect, downAt its start, and
+	// backoffs counts those in a row. connectFailures is the number of failures behind them.
 	downUntil       time.Time
+	downAt          time.Time
+	backoffs        int
 	connectFailures int
 	paths           targetPaths
 	// servedAt is when a request last ended with ResultServed.
@@ -103,8 +106,9 @@
 // address starts with empty statistics.
 func (s *targetState) update(row place.TargetRow, now time.Time) {
 	if row.Incarnation != s.Incarnation || row.Addr != s.Addr {
-		s.slowdown, s.failureRate, s.connectFailures, s.downUntil, s.leaving = 1, 0, 0, time.Time{}, false
+		s.slowdown, s.failureRate, s.leaving = 1, 0, false
 		s.paths = targetPaths{}
+		s.clearDown()
 	}
 	if row.WarmupLeft > 0 {
 		s.warmUpUntil = now.Add(row.WarmupLeft)
@@ -139,14 +143,24 @@
 
 // connectFailed records that hosts failed to connect, so that the target itself is probably
 // down, and starts the backoff.
-func (s *targetState) connectFailed(now time.Time, hosts int) {
-	s.downUntil = now.Add(min(minBackoff<<min(s.connectFailures, maxDoublings), maxBackoff))
-	s.connectFailures = max(s.connectFailures+1, hosts)
+// Failures of attempts that started before the backoff do not extend it.
+func (s *targetState) connectFailed(now, sentAt time.Time, hosts int) {
+	s.connectFailures = max(s.connectFailures, hosts)
+	if sentAt.Before(s.downAt) {
+		return
+	}
+	s.downAt, s.downUntil = now, now.Add(min(minBackoff<<min(s.backoffs, maxDoublings), maxBackoff))
+	s.backoffs++
+	s.connectFailures = max(s.connectFailures, s.backoffs)
+}
+
+func (s *targetState) clearDown() {
+	s.downAt, s.downUntil, s.backoffs, s.connectFailures = time.Time{}, time.Time{}, 0, 0
 }
 
 // responded records that the target responded to a host: it is not down.
 func (s *targetState) responded(now time.Time, host place.Host) {
-	s.connectFailures, s.downUntil = 0, time.Time{}
+	s.clearDown()
 	s.paths.responded(now, host)
 }
 
--- a/internal/dispatch/targetpath_test.go
+++ b/internal/dispatch/targetpath_test.go
@@ -71,3 +71,18 @@
 		})
 	}
 }
+
+// TestBackoffOfBurst: attempts that fail together put a target into one short backoff, however
+// many they are.
+func TestBackoffOfBurst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := newTargetState(place.TargetRow{Target: "t", Slots: 3}, now)
+	for range 8 {
+		s.connectFailed(now.Add(300*time.Millisecond), now, minDownHosts)
+	}
+	assert.Assert(t, !s.available(now.Add(300*time.Millisecond)))
+	assert.Assert(t, s.available(now.Add(300*time.Millisecond+minBackoff)))
+	now = now.Add(time.Second)
+	s.connectFailed(now, now, minDownHosts)
+	assert.Assert(t, !s.available(now.Add(minBackoff)))
+}
--- a/internal/host/paths.go
+++ b/internal/host/paths.go
@@ -70,6 +70,15 @@
 	}
 }
 
+// evidence returns the result of an attempt that the home of the target gets. A host that
+// reaches no target of the service knows nothing of this one.
+func (m *pathMonitor) evidence(row place.TargetRow, end dispatch.Result) dispatch.Result {
+	if event, ok := eventOf(end); !ok || event == path.Responded || !m.serviceLost(key.Service(row.Service)) {
+		return end
+	}
+	return dispatch.ResultUnused
+}
+
 // stalled records that an attempt which started at sentAt still has no response.
 func (m *pathMonitor) stalled(now, sentAt time.Time, row place.TargetRow) {
 	others := m.host.views.view().services[key.Service(row.Service)]
--- a/internal/host/relayer.go
+++ b/internal/host/relayer.go
@@ -24,8 +24,10 @@
 	// maxRelayTries is how many hosts a request is offered to.
 	maxRelayTries = 4
 	// relayPause is how long a host that has no path either, or does not respond, is passed
-	// over, and a target that no other host reaches is not tried through one.
+	// over.
 	relayPause = 400 * time.Millisecond
+	// targetPause is how long a target that no other host reaches is not tried through one.
+	targetPause = 100 * time.Millisecond
 	// relayCheckAge is how recently a host must have responded to get a request without a
 	// check, and relayCheckTimeout how long its response to a check may take. A request that
 	// is passed to a host beyond a network partition has an unknown outcome.
@@ -117,7 +119,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	maps.DeleteFunc(r.targetsUntil, func(_ place.Target, until time.Time) bool { return !now.Before(until) })
-	r.targetsUntil[name] = now.Add(relayPause)
+	r.targetsUntil[name] = now.Add(targetPause)
 }
 
 // responded records that a host responded, and whether a target served the request.
