--- a/internal/host/path_test.go
+++ b/internal/host/path_test.go
@@ -16,8 +16,11 @@
 	"gotest.tools/v3/assert"
 
 	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/outcome"
 	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/relay"
 	"citrontray.example/citrontray/internal/target"
+	"citrontray.example/citrontray/internal/traffic"
 )
 
 // cutKind is how connections behave while a path is cut.
@@ -320,3 +323,51 @@
 	leader := d.leader()
 	return slices.DeleteFunc(slices.Clone(d.hosts), func(h *testHost) bool { return h == leader })
 }
+
+// TestRelayStops: a host that has no path either refuses the request of another host, which
+// answers its caller at once: no request goes round, and none is sent twice.
+func TestRelayStops(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 3, 3, 2)
+	d.awaitServed()
+	for _, h := range d.hosts {
+		h.paths.cut(cutReset)
+	}
+	d.measure(d.hosts, time.Second)
+	for i := range 20 {
+		a := d.send(d.hosts[i%3], http.MethodPost, "/free/x", 0)
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.status, http.StatusServiceUnavailable)
+		assert.Equal(t, d.runs.Runs(a.id), 0)
+		assert.Assert(t, a.took < 500*time.Millisecond, "answered after %v", a.took)
+	}
+}
+
+// TestRelayNeedsConfig: a host with an older configuration than the host that passes a request
+// on does not take it.
+func TestRelayNeedsConfig(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1, 1, 1)
+	d.awaitServed()
+	h := d.hosts[0]
+	in := relay.Request{ID: "r", Method: http.MethodPost, URI: "/free/x", Host: "a.example", Service: "desk", Timeout: time.Second, Config: 1}
+	tests := map[string]struct {
+		version traffic.Version
+		want    outcome.Reason
+	}{
+		"same":  {1, ""},
+		"newer": {2, reasonNoPath},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			in := in
+			in.Config = test.version
+			_, result := h.relayer.newJob(&in, time.Now())
+			if test.want == "" {
+				assert.Assert(t, result == nil, "%v", result)
+				return
+			}
+			assert.Equal(t, outcome.ReasonOf(result), test.want)
+		})
+	}
+}
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -32,13 +32,12 @@
 // Event is what an attempt shows about a path.
 type Event uint8
 
+// The events. Responded: the target sent a response. Unreachable: no connection to it could
+// be made. Silent: the request was sent and got no response, or the connection broke; the path
+// or the target may be at fault, so the path is probed.
 const (
-	// Responded: the target sent a response.
 	Responded Event = iota + 1
-	// Unreachable: no connection to the target could be made.
 	Unreachable
-	// Silent: the request was sent and got no response, or the connection broke. The path or
-	// the target may be at fault, so the path is probed.
 	Silent
 )
 
@@ -200,8 +199,9 @@
 	slices.SortFunc(due, func(a, b *path) int {
 		return cmp.Or(a.probeAt.Compare(b.probeAt), cmp.Compare(a.row.Target, b.row.Target))
 	})
-	var out []place.TargetRow
-	for _, p := range due[:min(len(due), max(maxProbes-t.probing, 0))] {
+	due = due[:min(len(due), max(maxProbes-t.probing, 0))]
+	out := make([]place.TargetRow, 0, len(due))
+	for _, p := range due {
 		p.probing = true
 		t.probing++
 		out = append(out, p.row)
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,66 @@
+package relay
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/outcome"
+)
+
+func sample() Request {
+	return Request{
+		ID: "r1", Method: "POST", URI: "/plan/k?x=1", Host: "a.example", Header: http.Header{"Accept": {"x"}}, Body: []byte("body"),
+		Config: 7, Service: "plan", Point: 9, Timeout: time.Second, SoftTimeout: -time.Millisecond, Attempts: 1, Arrivals: 2,
+	}
+}
+
+func TestRequestRoundTrip(t *testing.T) {
+	want := sample()
+	body, err := want.Encode()
+	assert.NilError(t, err)
+	got, err := DecodeRequest(body)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, want)
+}
+
+// TestMalformedRequests: a request with a value that no host sends is rejected as a whole.
+func TestMalformedRequests(t *testing.T) {
+	tests := map[string]func(r *Request){
+		"no id":            func(r *Request) { r.ID = "" },
+		"negative timeout": func(r *Request) { r.Timeout = -time.Second },
+		"endless timeout":  func(r *Request) { r.Timeout = maxTimeout + time.Second },
+		"no such key":      func(r *Request) { r.Point = 1 << 20 },
+		"negative count":   func(r *Request) { r.Arrivals = -1 },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := sample()
+			change(&r)
+			body, err := r.Encode()
+			assert.NilError(t, err)
+			_, err = DecodeRequest(body)
+			assert.ErrorIs(t, err, ErrMalformed)
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	r := sample()
+	body, err := r.Encode()
+	assert.NilError(f, err)
+	f.Add(body)
+	body, err = EncodeResult(outcome.Response{Status: 200, Body: []byte("x")}, false)
+	assert.NilError(f, err)
+	f.Add(body)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		if r, err := DecodeRequest(body); err == nil && (r.Timeout < 0 || r.Timeout > maxTimeout) {
+			t.Fatal("timeout out of range")
+		}
+		if r, _, err := DecodeResult(body); err == nil && r == nil {
+			t.Fatal("no result and no error")
+		}
+	})
+}
