A stopping host refuses requests that come too late to finish

It happens here: a connection that was opened while the host still accepted them, and whose request came late, got an unexpected EOF at the end of the grace (TestLateRequestInStop, late and long, without the change).

From half of the grace on, a request whose deadline is after the end of the stop is refused at once, not run, reason stopping. Before that the load balancer may still send clients, and most requests end long before their deadline. Host.stop is shutdown now.

--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -18,6 +18,9 @@
 const (
 	// startingRetryAfter is the Retry-After hint while there is no configuration yet.
 	startingRetryAfter = 200 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After hint of a host that stops: another one takes the
+	// request.
+	stoppingRetryAfter = 50 * time.Millisecond
 	// maxBodyBytes limits the body of a response, which is buffered whole. It also
 	// limits request bodies where no limit is configured.
 	maxBodyBytes = 16 << 20
@@ -83,6 +86,10 @@
 	if result != nil {
 		return nil, result
 	}
+	if h.stop.Load().refuses(time.Now(), j.deadline) {
+		h.bodyMemory.Release(int64(len(body)))
+		return nil, outcome.NotRunFailure{Reason: outcome.Stopping, RetryAfter: stoppingRetryAfter}
+	}
 	header := forward.StripHopByHop(r.Header)
 	for _, name := range []string{h.names.Request, h.names.Deadline, h.names.Expect} {
 		header.Del(name)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -91,6 +91,8 @@
 	front    net.Listener
 	ready    net.Listener
 	stopping atomic.Bool
+	// stop is set once the host stops.
+	stop atomic.Pointer[stopSchedule]
 	// isolated is the last result of checkIsolated: a network partition separates this
 	// host from most targets.
 	isolated atomic.Bool
@@ -257,7 +259,7 @@
 		case <-background.Done():
 			return s.close()
 		}
-		return h.stop(background, s, stopControllers)
+		return h.shutdown(background, s, stopControllers)
 	})
 	err := group.Wait()
 	h.connPools.close()
--- a/internal/host/servers.go
+++ b/internal/host/servers.go
@@ -110,12 +110,29 @@
 
 func (s *servers) close() error { return errors.Join(s.front.Close(), s.ready.Close()) }
 
-// stop shuts the host down gracefully: it reports not ready, asks clients to close
+// stopSchedule is the course of a graceful stop.
+type stopSchedule struct {
+	// lateFrom is when the host begins to refuse requests that may not end in time, end when
+	// it aborts those in flight.
+	lateFrom, end time.Time
+}
+
+// lateShare is the share of the grace period after which requests that may last longer than
+// the rest of it are refused. Until then the load balancer may still send clients here.
+const lateShare = 0.5
+
+// refuses reports whether a request with the deadline comes too late in the stop.
+func (s *stopSchedule) refuses(now, deadline time.Time) bool {
+	return s != nil && now.After(s.lateFrom) && deadline.After(s.end)
+}
+
+// shutdown shuts the host down gracefully: it reports not ready, asks clients to close
 // their connections, lets requests in flight finish and hands over leadership.
-func (h *Host) stop(ctx context.Context, s *servers, stopControllers context.CancelFunc) error {
+func (h *Host) shutdown(ctx context.Context, s *servers, stopControllers context.CancelFunc) error {
 	start := time.Now()
 	grace := h.bounds.Load().Grace
 	h.log.Info("Stopping.", millisAttr("grace", grace))
+	h.stop.Store(&stopSchedule{lateFrom: start.Add(time.Duration(lateShare * float64(grace))), end: start.Add(grace - stopMargin)})
 	h.stopping.Store(true)
 	s.front.Drain(stopIdleTimeout)
 	h.dispatcher.announceStop(h.views.view().members.Hosts)
