Attempts without a response slow a target again, whichever host made them

Homes had stopped counting timeouts that one host saw in a row while the target responded to others, which a slow target also does.

The rule is taken out. A host that has lost its paths to a service reports no failures there at all, which covers the attempts that hang when a cut begins.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -296,18 +296,11 @@
 		}
 		p.class(t.class).add(took)
 		s.observe(now, ratio, false)
-	case ResultFailed, ResultBusy:
+	case ResultFailed, ResultBusy, ResultCut:
 		slow, _ := s.decayed(now)
 		s.observe(now, slow, true)
-	case ResultCut:
-		if s.paths.noResponse(now, t.key.host) {
-			slow, _ := s.decayed(now)
-			s.observe(now, slow, true)
-		}
 	case ResultTimeout:
-		if s.paths.noResponse(now, t.key.host) {
-			s.observe(now, max(ratio, 1), true)
-		}
+		s.observe(now, max(ratio, 1), true)
 	case ResultUnreachable:
 		p.connectFailed(now, t)
 	case ResultMisdirected, ResultUnused:
--- a/internal/dispatch/targetpath.go
+++ b/internal/dispatch/targetpath.go
@@ -23,8 +23,6 @@
 type targetPaths struct {
 	// failed maps the hosts that could not connect to the time of their last failure.
 	failed map[place.Host]time.Time
-	// unanswered maps the hosts whose last attempt got no response to the time of its end.
-	unanswered map[place.Host]time.Time
 	// respondedAt is when the target last responded to any host.
 	respondedAt time.Time
 }
@@ -33,7 +31,6 @@
 func (p *targetPaths) responded(now time.Time, host place.Host) {
 	p.respondedAt = now
 	delete(p.failed, host)
-	delete(p.unanswered, host)
 }
 
 // connectFailed records that a host could not connect in an attempt that started at sentAt.
@@ -62,16 +59,3 @@
 	at, ok := p.failed[host]
 	return ok && now.Sub(at) < pathBackoff
 }
-
-// noResponse records that an attempt of a host got no response. It reports whether that is
-// evidence about the target: further attempts of the same host are not, if the target
-// responded to other hosts meanwhile.
-func (p *targetPaths) noResponse(now time.Time, host place.Host) bool {
-	last, again := p.unanswered[host]
-	if p.unanswered == nil {
-		p.unanswered = make(map[place.Host]time.Time)
-	}
-	p.unanswered[host] = now
-	maps.DeleteFunc(p.unanswered, func(_ place.Host, at time.Time) bool { return now.Sub(at) > evidenceAge })
-	return !again || !p.respondedAt.After(last)
-}
