--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -40,6 +40,8 @@
 	results     map[traffic.RouteName]*workloadResult
 	// suspects, where set, are the requests under which targets end.
 	suspects *suspects
+	// paths, where set, are the links between single hosts and targets.
+	paths *pathModel
 	// heldFor is how long requests waited that were refused for the reason limit.
 	heldFor []time.Duration
 	trace   []string
@@ -365,13 +367,28 @@
 		c.results[w.class].failed++
 		return
 	}
-	h := candidates[c.rng.IntN(len(candidates))]
+	c.requestAt(candidates[c.rng.IntN(len(candidates))], w, start, retries)
+}
+
+// requestAt sends a client's request to a host.
+func (c *cluster) requestAt(h *clusterHost, w workload, start time.Time, retries int) {
 	h.process(func(now time.Time) {
 		c.nextRequest++
 		id := strconv.Itoa(c.nextRequest)
 		c.senders[id] = h.name
 		left := w.deadline - now.Sub(start)
 		a := Acquire{Pool: c.pool, Class: w.class, Priority: w.priority, Timeout: left, SoftTimeout: w.objective - now.Sub(start)}
+		if c.paths != nil {
+			lost, all := c.paths.lost(h)
+			if all {
+				if h = c.paths.relay(h); h == nil {
+					c.results[w.class].refused++
+					return
+				}
+				lost, _ = c.paths.lost(h)
+			}
+			a.Excluded = lost
+		}
 		if c.suspects != nil && !c.suspects.identify(now, h, id, &a) {
 			return
 		}
@@ -413,6 +430,10 @@
 	}
 	finish := func(result Result, limit target.Limit) func(now time.Time) {
 		return func(done time.Time) {
+			reported := result
+			if h.paths != nil {
+				reported = h.paths.record(done, now, h, t.row, result)
+			}
 			record(done, result)
 			if *limitBreak == breakResponses {
 				limit = nil
@@ -422,8 +443,12 @@
 				row.Incarnation = incarnation
 				h.client.RecordLimit(done, now, h.pool, row, limit)
 			}
-			h.client.Done(done, ticket, result, done.Sub(now), limit)
+			h.client.Done(done, ticket, reported, done.Sub(now), limit)
 			h.flush()
+			if h.paths != nil && result == ResultUnreachable {
+				h.requestAt(h, w, start, 0) // it was not sent
+				return
+			}
 			switch took := done.Sub(start); {
 			case result != ResultServed || took > w.deadline:
 				h.results[w.class].failed++
@@ -441,6 +466,16 @@
 		h.after(300*time.Millisecond, func(time.Time) { h.process(finish(ResultUnreachable, nil)) })
 		return
 	}
+	if h.paths != nil {
+		if cut, lost := h.paths.cut(h.name, name); lost {
+			delay := pathDialTimeout
+			if cut.refused {
+				delay = 2 * networkDelay
+			}
+			h.after(delay, func(time.Time) { h.process(finish(ResultUnreachable, nil)) })
+			return
+		}
+	}
 	h.after(networkDelay, func(now time.Time) {
 		if t.row.Incarnation != incarnation {
 			h.process(finish(ResultUnreachable, nil))
--- a/internal/host/stop_test.go
+++ b/internal/host/stop_test.go
@@ -44,7 +44,7 @@
 			time.Sleep(max(test.sentAfter-time.Second, 0))
 			c, err := net.Dial("tcp", h.site.Front.String())
 			assert.NilError(t, err)
-			defer c.Close()
+			defer func() { _ = c.Close() }()
 			time.Sleep(test.sentAfter - time.Since(stopped))
 			id := "late-" + name[:1] + fmt.Sprint(test.timeoutMS)
 			_, err = fmt.Fprintf(c, "POST /free/x HTTP/1.1\r\nHost: a.example\r\n%s: %s\r\n%s: %d\r\nContent-Length: 0\r\n\r\n", d.names.Request, id, d.names.Deadline, test.timeoutMS)
