A slot of a target without a path is returned before the request is passed on

Found when reading the change: where a home assigned a target without a path a second time, the host kept the slot while another host served the request. The slot is returned first now; the request is passed on in the next attempt.

--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -141,9 +141,9 @@
 	s.updatedAt = now
 }
 
-// connectFailed records that hosts failed to connect, so that the target itself is probably
-// down, and starts the backoff.
-// Failures of attempts that started before the backoff do not extend it.
+// connectFailed records that so many hosts failed to connect that the target itself is
+// probably down, and starts the backoff. Attempts that started before a backoff do not extend
+// it.
 func (s *targetState) connectFailed(now, sentAt time.Time, hosts int) {
 	s.connectFailures = max(s.connectFailures, hosts)
 	if sentAt.Before(s.downAt) {
--- a/internal/host/backoff.go
+++ b/internal/host/backoff.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"context"
 	"log/slog"
 	"slices"
 	"time"
@@ -44,7 +43,7 @@
 
 // checkSlot returns the step to take instead of using a slot of a target that is
 // leaving or paused, nil if the slot may be used.
-func (j *job) checkSlot(ctx context.Context, m dispatch.Assigned, owner place.Target) step {
+func (j *job) checkSlot(m dispatch.Assigned, owner place.Target) step {
 	now, v := time.Now(), j.host.views.view()
 	row := v.targets[m.Target]
 	if owner != "" {
@@ -56,7 +55,8 @@
 	case leaving.IsZero() && pause == 0 && !lost && !v.isLeaving(m.Target):
 		return nil
 	case lost && slices.Contains(j.tried, m.Target):
-		return j.relay(ctx, now, "")
+		j.noPath = true
+		return retryStep{}
 	case slices.Contains(j.tried, m.Target):
 		return finishStep{outcome.NotRunFailure{Reason: outcome.Unreachable, RetryAfter: max(pause, defaultRetryAfter)}}
 	}
--- a/internal/host/job.go
+++ b/internal/host/job.go
@@ -93,6 +93,9 @@
 	// that this one passed it to.
 	relayed   bool
 	relayedTo place.Host
+	// noPath is set if a home of a keyless service has only targets left to which this host
+	// has no path.
+	noPath bool
 }
 
 // step is the next action for a request.
@@ -249,7 +252,7 @@
 	for {
 		select {
 		case end := <-reply:
-			return j.handleReply(ctx, now, id, end, owner)
+			return j.handleReply(now, id, end, owner)
 		case <-ctx.Done():
 			if d.cancel(time.Now(), id) {
 				return ticket{}, finishStep{outcome.NotRunFailure{Reason: outcome.CallerGone}}
@@ -285,13 +288,13 @@
 }
 
 // handleReply handles the final reply of a home.
-func (j *job) handleReply(ctx context.Context, asked time.Time, id dispatch.TicketID, end ticketReply, owner place.Target) (ticket, step) {
+func (j *job) handleReply(asked time.Time, id dispatch.TicketID, end ticketReply, owner place.Target) (ticket, step) {
 	waited := time.Since(asked)
 	j.queued += waited
 	j.home, j.ticketID = end.home, id
 	switch m := end.Message.(type) {
 	case dispatch.Assigned:
-		if s := j.checkSlot(ctx, m, owner); s != nil {
+		if s := j.checkSlot(m, owner); s != nil {
 			// This host may know more recent state than the home.
 			j.host.log.Info("Slot not used, target is leaving or paused.", slog.String("request", j.request.ID),
 				slog.String("target", string(m.Target)), slog.String("home", string(end.home)), slog.Uint64("ticket", uint64(id)))
--- a/internal/host/relayer.go
+++ b/internal/host/relayer.go
@@ -167,7 +167,7 @@
 		return j.host.paths.lost(v, owner)
 	}
 	rows := v.services[j.service.Name]
-	return len(rows) > 0 && len(j.host.paths.lostTargets(rows)) == len(rows)
+	return j.noPath || len(rows) > 0 && len(j.host.paths.lostTargets(rows)) == len(rows)
 }
 
 // relay passes the request to another host and returns its result. target is the owner of
