--- a/internal/host/campaign.go
+++ b/internal/host/campaign.go
@@ -75,13 +75,13 @@
 		if c.leaderNoticeAt.After(since) {
 			since = c.leaderNoticeAt
 		}
-		silent := now.Sub(since) > leaderNoticeTimeout+time.Duration(rank)*candidateDelay+c.cutOffWait()
+		silent := now.Sub(since) > leaderNoticeTimeout+time.Duration(rank)*candidateDelay+c.cutOffWait(v)
 		return own || silent && rank >= 0 && rank < candidateCount && now.Sub(c.campaignedAt) > candidateDelay
 	}
 	if c.noLeaderSince.IsZero() || rank < 0 {
 		return false
 	}
-	wait := time.Duration(rank)*candidateDelay + c.cutOffWait()
+	wait := time.Duration(rank)*candidateDelay + c.cutOffWait(v)
 	if c.storeRestored(v) {
 		// Only the last leader knows the owners, so others wait longer.
 		if now.Sub(c.leaderNoticeAt) < leaderNoticeTimeout {
@@ -96,8 +96,8 @@
 }
 
 // cutOffWait returns the additional delay of this host's campaigns.
-func (c *controller) cutOffWait() time.Duration {
-	if c.host.paths.serviceLost(c.service) {
+func (c *controller) cutOffWait(v *view) time.Duration {
+	if c.host.paths.serviceLost(v, c.service) {
 		return cutOffDelay
 	}
 	return 0
--- a/internal/host/paths.go
+++ b/internal/host/paths.go
@@ -73,7 +73,7 @@
 // evidence returns the result of an attempt that the home of the target gets. A host that
 // reaches no target of the service knows nothing of this one.
 func (m *pathMonitor) evidence(row place.TargetRow, end dispatch.Result) dispatch.Result {
-	if event, ok := eventOf(end); !ok || event == path.Responded || !m.serviceLost(key.Service(row.Service)) {
+	if event, ok := eventOf(end); !ok || event == path.Responded || !m.serviceLost(m.host.views.view(), key.Service(row.Service)) {
 		return end
 	}
 	return dispatch.ResultUnused
@@ -97,8 +97,8 @@
 }
 
 // serviceLost reports whether this host has no path to any target of a service.
-func (m *pathMonitor) serviceLost(service key.Service) bool {
-	targets := len(m.host.views.view().services[service])
+func (m *pathMonitor) serviceLost(v *view, service key.Service) bool {
+	targets := len(v.services[service])
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.table.ServiceLost(service, targets)
--- a/internal/host/resign.go
+++ b/internal/host/resign.go
@@ -17,14 +17,14 @@
 
 // cutOff reports whether this host does not reach the targets that it leads, while other
 // hosts do.
-func (c *controller) cutOff(now time.Time) bool {
-	return now.Sub(c.host.relayer.lastServed(c.service)) < relayedAge && (c.core.Unreached() || c.host.paths.serviceLost(c.service))
+func (c *controller) cutOff(now time.Time, v *view) bool {
+	return now.Sub(c.host.relayer.lastServed(c.service)) < relayedAge && (c.core.Unreached() || c.host.paths.serviceLost(v, c.service))
 }
 
 // resignIfDue hands leadership over when this host stops, or does not reach the targets.
 // During a store outage no other host can take over, so this host keeps renewing grants
 // until the outage ends.
-func (c *controller) resignIfDue(ctx context.Context, now time.Time) {
+func (c *controller) resignIfDue(ctx context.Context, now time.Time, v *view) {
 	if c.resigning {
 		return
 	}
@@ -33,7 +33,7 @@
 		return
 	}
 	if !c.host.stopping.Load() && !c.yielding {
-		if !c.cutOff(now) || !c.core.LeaseFresh(now) {
+		if !c.cutOff(now, v) || !c.core.LeaseFresh(now) {
 			return
 		}
 		c.log.Warn("No path to the targets, handing leadership over.", slog.Uint64("term", uint64(c.core.Term())))
