A host with a path to the only target of a pool gets its slots

The home refused the slots of a range's owner for a second after each failed connection, while the host, which had just got a response over an open one, asked for them.

A home leaves a target out for such a host only if the pool has others. A host without a path does not ask.

--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -118,7 +118,7 @@
 		if len(w.Excluded) > 0 && len(r.candidates) > 1 && slices.Contains(w.Excluded, c.Target) {
 			continue
 		}
-		if !r.usable(w, c) || c.paths.lost(r.now, w.key.host) && !r.isolated(r.now) {
+		if !r.usable(w, c) || len(r.candidates) > 1 && c.paths.lost(r.now, w.key.host) {
 			continue
 		}
 		service := time.Duration(float64(w.mean) * c.timeFactor)
--- a/internal/dispatch/targetpath.go
+++ b/internal/dispatch/targetpath.go
@@ -9,7 +9,7 @@
 
 const (
 	// pathBackoff is how long after a failure to connect the same host gets no slot of the
-	// target. The host itself finds out when its path is back.
+	// target if there are others. A host asks for the only target of a pool if it has a path.
 	pathBackoff = time.Second
 	// evidenceAge is how long a failure to connect counts as evidence that the target is
 	// down.
