A request too large to be passed on is refused as unreachable, not as too large

Found when reading the change: a caller whose body was above 8 MiB, the size of a message between hosts, got 413 at a host without a path, although the configuration allows the body and other hosts would serve it. Nothing is sent in that case. It gets 503, not run, with a retry delay now. TestRelayFailed has the results of all failures of a call; its case of a large body failed before.

--- a/internal/host/path_test.go
+++ b/internal/host/path_test.go
@@ -16,7 +16,10 @@
 	"gotest.tools/v3/assert"
 
 	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/logging"
+	"citrontray.example/citrontray/internal/member"
 	"citrontray.example/citrontray/internal/outcome"
+	"citrontray.example/citrontray/internal/peer"
 	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/relay"
 	"citrontray.example/citrontray/internal/target"
@@ -371,3 +374,31 @@
 		})
 	}
 }
+
+// TestRelayFailed: a request is reported as not run only if it certainly did not arrive at the
+// other host, and a body that hosts can't pass on is no mistake of the caller.
+func TestRelayFailed(t *testing.T) {
+	t.Parallel()
+	late, cancel := context.WithDeadline(context.Background(), time.Now())
+	defer cancel()
+	tests := map[string]struct {
+		ctx  context.Context
+		err  error
+		want outcome.Result
+	}{
+		"too large":   {context.Background(), peer.ErrTooLarge, outcome.NotRunFailure{Reason: outcome.Unreachable, RetryAfter: defaultRetryAfter}},
+		"unreachable": {context.Background(), peer.ErrUnreachable, nil},
+		"refused":     {context.Background(), peer.ErrRefused, nil},
+		"no response": {context.Background(), peer.ErrNoResponse, outcome.UnknownFailure{Reason: outcome.AnswerCut}},
+		"late":        {late, peer.ErrNoResponse, outcome.UnknownFailure{Reason: outcome.AnswerLate}},
+		"panic there": {context.Background(), &peer.RemoteError{Text: "x"}, outcome.UnknownFailure{Reason: outcome.AnswerCut}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := &Host{log: logging.Nop()}
+			h.relayer = newRelayer(h)
+			j := &job{host: h}
+			assert.DeepEqual(t, j.relayFailed(test.ctx, member.Host{Name: "other"}, test.err), test.want)
+		})
+	}
+}
--- a/internal/host/relayer.go
+++ b/internal/host/relayer.go
@@ -251,7 +251,8 @@
 	j.host.log.Info("No result from another host.", slog.String("request", j.request.ID), slog.String("to", string(m.Name)), slog.Any("error", err))
 	switch {
 	case errors.Is(err, peer.ErrTooLarge):
-		return outcome.NotRunFailure{Reason: outcome.BodyTooBig}
+		// Nothing was sent, and the configuration allows such a body.
+		return outcome.NotRunFailure{Reason: outcome.Unreachable, RetryAfter: defaultRetryAfter}
 	case errors.Is(err, peer.ErrUnreachable), errors.Is(err, peer.ErrRefused):
 		j.host.relayer.pause(time.Now(), relayRoute{host: m.Name})
 		return nil
