--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -72,33 +72,36 @@
 	}).RecordDuration(waited)
 }
 
-// countResult counts an event of a service by its result.
-func (m *metrics) countResult(name string, service key.Service, result string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	getOrCreate(m.counters, metricID{name, string(service), result, ""}, func() tally.Counter {
-		return m.scope(service, map[string]string{"result": result}).Counter(name)
-	}).Inc(1)
-}
-
 // countPath counts a path to a target that was lost, or is back.
 func (m *metrics) countPath(service key.Service, back bool) {
 	result := "lost"
 	if back {
 		result = "back"
 	}
-	m.countResult("paths", service, result)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	getOrCreate(m.counters, metricID{"paths", string(service), result, ""}, func() tally.Counter {
+		return m.scope(service, map[string]string{"result": result}).Counter("paths")
+	}).Inc(1)
 }
 
 // countRelay counts a request that was passed to another host, by its outcome, or "none" if
 // no host took it.
 func (m *metrics) countRelay(service key.Service, result string) {
-	m.countResult("relays", service, result)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	getOrCreate(m.counters, metricID{"relays", string(service), result, ""}, func() tally.Counter {
+		return m.scope(service, map[string]string{"result": result}).Counter("relays")
+	}).Inc(1)
 }
 
 // countRetry counts a retry: "made", or "denied" by the budget.
 func (m *metrics) countRetry(service key.Service, result string) {
-	m.countResult("retries", service, result)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	getOrCreate(m.counters, metricID{"retries", string(service), result, ""}, func() tally.Counter {
+		return m.scope(service, map[string]string{"result": result}).Counter("retries")
+	}).Inc(1)
 }
 
 // countEnd counts a target that ended under a request of this host.
