Tests of unreachable addresses use addresses that no other process gets

Cause: the test closed a listener and used its port, which the kernel may give to a listener of another test process that runs beside it. Then the request is sent, and its outcome is rightly unknown.

--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"citrontray.example/citrontray/internal/loopback"
 	"citrontray.example/citrontray/internal/outcome"
 	"citrontray.example/citrontray/internal/queue"
 	"citrontray.example/citrontray/internal/target"
@@ -233,10 +234,8 @@
 
 func TestUnreachableTarget(t *testing.T) {
 	f := newFixture(t, nil)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := loopback.Addr()
 	assert.NilError(t, err)
-	addr := l.Addr().(*net.TCPAddr).AddrPort()
-	assert.NilError(t, l.Close())
 	f.setOwner(addr)
 	a := f.call("POST", "/plan/k", "", target.HeaderDeadline, "300")
 	assert.Equal(t, a.outcome, outcome.NotRun)
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -12,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"citrontray.example/citrontray/internal/loopback"
 	"citrontray.example/citrontray/internal/platform"
 )
 
@@ -26,10 +26,9 @@
 // closedAddr returns an address at which no socket listens.
 func closedAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := loopback.Addr()
 	assert.NilError(t, err)
-	assert.NilError(t, l.Close())
-	return l.Addr().String()
+	return addr.String()
 }
 
 func TestClientDistinguishesUnknownFromUnavailable(t *testing.T) {
