A target counts as ended only if other hosts are refused, too

Callers: a request that many send, in flight when a network resets the connections of their host and refuses new ones, was recorded as ending targets; two more such ends, and all hosts refuse it with 422. Cause: endCheck took a refused connection of this host for the end of the target. Evidence: TestCutPathEndsNoTarget, new: with one and with two of three hosts cut, all hosts had such records. Change: the host asks up to three others to connect (KindReach), one of each other zone first. One that connects means that the target has not ended; if none can tell, the refusal of one path counts as before. Weighed: to wait until other paths are lost, too (late, and a host has few targets of a service in use); to record and take back (the records are refused on meanwhile).

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -78,6 +78,7 @@
 	idleLimits     *idleLimits
 	paths          *pathMonitor
 	relayer        *relayer
+	endChecks      *endChecks
 	splitter       *traffic.Splitter
 	keyCounter     *keyCounter
 	bodyMemory     *semaphore.Weighted
@@ -123,7 +124,7 @@
 	h.setBounds(env.Site.Bounds)
 	h.views = newViewBuilder(h.replica, h.log, env.DecodeConfig)
 	h.registrar = newRegistrar(h)
-	h.paths, h.relayer = newPathMonitor(h), newRelayer(h)
+	h.paths, h.relayer, h.endChecks = newPathMonitor(h), newRelayer(h), &endChecks{host: h}
 	h.quarantine = newQuarantiner(h, env.Site.Quarantine)
 	if err := h.openSockets(); err != nil {
 		return nil, err
@@ -145,6 +146,7 @@
 	}
 	h.transport = link
 	link.Handle(peer.KindRelay, h.relayer.serve)
+	link.Handle(peer.KindReach, h.endChecks.serve)
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(h.site.Ticket))
 	if err != nil {
 		return fmt.Errorf("host: open ticket address: %w", err)
--- a/internal/host/job.go
+++ b/internal/host/job.go
@@ -384,7 +384,7 @@
 		j.logAttempt(t, end, took, result)
 	}
 	if isCut(result) {
-		j.checkEnd(ctx, &endCheck{job: j, ticket: t, took: took, known: known, incarnation: row.Incarnation})
+		j.checkEnd(ctx, &endCheck{job: j, row: rowOf(t, row, j.service.Name), took: took, known: known})
 	}
 	if _, ok := result.(forward.Completed); ok {
 		h.quarantine.served(time.Now(), j)
--- a/internal/host/quarantine.go
+++ b/internal/host/quarantine.go
@@ -7,19 +7,15 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
-	"net/netip"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"golang.org/x/sync/singleflight"
 
 	"citrontray.example/citrontray/internal/dispatch"
 	"citrontray.example/citrontray/internal/docsync"
 	"citrontray.example/citrontray/internal/forward"
-	"citrontray.example/citrontray/internal/outcome"
 	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/platform"
 	"citrontray.example/citrontray/internal/quarantine"
@@ -58,7 +54,6 @@
 	table *quarantine.Table
 	// hasher is nil until the key of the deployment is known.
 	hasher atomic.Pointer[quarantine.Hasher]
-	checks singleflight.Group
 	// changed gets a token when this host has changed a record.
 	changed chan struct{}
 	saver   *quarantineSaver
@@ -283,46 +278,3 @@
 	}
 	return err
 }
-
-// endCheckTimeout limits the attempt to connect to a target that may have ended.
-const endCheckTimeout = 100 * time.Millisecond
-
-// hasEnded reports whether the target at an address has ended, as its host refuses
-// connections. Attempts that are cut at the same time share one check.
-func (q *quarantiner) hasEnded(ctx context.Context, pool *forward.Pool, addr netip.AddrPort) bool {
-	ended, _, _ := q.checks.Do(addr.String(), func() (any, error) {
-		ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
-		defer cancel()
-		return errors.Is(pool.Check(ctx, time.Now()), syscall.ECONNREFUSED), nil
-	})
-	return ended.(bool)
-}
-
-// endCheck finds out whether the target of an attempt that was cut has ended.
-type endCheck struct {
-	job    *job
-	ticket ticket
-	took   time.Duration
-	// known is what was known of the request when the attempt began, incarnation that of
-	// its target.
-	known       quarantine.Suspicion
-	incarnation place.Incarnation
-}
-
-// run makes the check and records an end.
-func (c *endCheck) run(ctx context.Context) {
-	j, h := c.job, c.job.host
-	if !h.quarantine.hasEnded(ctx, h.connPools.get(c.ticket.Addr, j.service), c.ticket.Addr) {
-		return
-	}
-	h.quarantine.ended(time.Now(), j, c.known, quarantine.End{Target: c.ticket.target, Incarnation: c.incarnation})
-	h.metrics.countEnd(j.service.Name)
-	h.log.Info("Target ended under a request.", slog.String("request", j.request.ID), slog.String("fingerprint", j.fingerprint.String()),
-		slog.String("service", string(j.service.Name)), slog.String("target", string(c.ticket.target)), millisAttr("took", c.took))
-}
-
-// isCut reports whether an attempt ended like one whose target has ended.
-func isCut(result forward.Result) bool {
-	u, ok := result.(forward.Uncertain)
-	return ok && (u.Reason == outcome.AnswerCut || u.Reason == outcome.SendCut)
-}
--- a/internal/host/quarantine_test.go
+++ b/internal/host/quarantine_test.go
@@ -131,3 +131,41 @@
 	d.eventually("all hosts serve it", 2*time.Second, all(http.StatusOK))
 	d.eventually("the store no longer has it", 2*time.Second, func() bool { return !saved() })
 }
+
+// TestCutPathEndsNoTarget checks that connections that are reset on the way to targets count
+// as no target's end: callers of other hosts would be refused.
+func TestCutPathEndsNoTarget(t *testing.T) {
+	const (
+		path, point = "/read/popular", 30000
+		copies      = 8
+	)
+	for name, cutHosts := range map[string]int{"one host": 1, "two of three hosts": 2} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t, 3, 1, 4)
+			d.awaitServed()
+			for _, r := range d.targets {
+				r.SetFaults(fake.RangeTargetFaults{Work: 300 * time.Millisecond})
+			}
+			cut := d.others()[:cutHosts]
+			var clients sync.WaitGroup
+			for range copies {
+				for _, h := range cut {
+					clients.Go(func() { d.send(h, http.MethodGet, path, point) })
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+			for _, h := range cut {
+				h.paths.cut(cutReset)
+			}
+			clients.Wait()
+			for _, h := range d.hosts {
+				listed := h.quarantine.quarantined(time.Now())
+				assert.Check(t, len(listed) == 0, "%s refuses %v", h.site.Host, listed)
+				assert.Check(t, h.quarantine.table.Len() == 0, "%s has records", h.site.Host)
+			}
+			a := d.send(d.leader(), http.MethodGet, path, point)
+			assert.Equal(t, a.status, http.StatusOK, a.reason)
+		})
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -38,6 +38,7 @@
 	KindLoad                   // load reports from entry processes to leaders
 	KindStatus                 // status of a process
 	KindRelay                  // a request forwarded to another entry host
+	KindReach                  // whether a host reaches a target
 )
 
 // Handler handles one message and returns the response.
--- a/internal/peer/policy.go
+++ b/internal/peer/policy.go
@@ -12,6 +12,8 @@
 		return role == RoleEntry
 	case KindRelay:
 		return role == RoleEntry || role == RoleLead
+	case KindReach:
+		return role == RoleLead
 	case KindStatus:
 		return true
 	}
@@ -27,6 +29,8 @@
 		return role == RoleLead
 	case KindRelay:
 		return role == RoleEntry || role == RoleLead
+	case KindReach:
+		return role == RoleLead
 	case KindStatus:
 		return role == RoleLead || role == RoleEntry
 	}
--- a/internal/peer/trust_test.go
+++ b/internal/peer/trust_test.go
@@ -96,11 +96,11 @@
 			dir := newAuthority(t)
 			credentials := newClient(t, dir)
 			server := start(t, newCredentials(t, dir, "h1", peer.RoleLead), anyPort())
-			for kind := peer.KindCell; kind <= peer.KindRelay; kind++ {
+			for kind := peer.KindCell; kind <= peer.KindReach; kind++ {
 				server.Handle(kind, echo)
 			}
 			client := start(t, credentials, anyPort())
-			for kind := peer.KindCell; kind <= peer.KindRelay; kind++ {
+			for kind := peer.KindCell; kind <= peer.KindReach; kind++ {
 				_, err := client.Call(t.Context(), server.Addr(), kind, nil)
 				assert.Assert(t, err != nil, "kind %d was served", kind)
 			}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,5 +1,5 @@
 // Package relay encodes the requests that a host passes to another one, which sends them
-// to a target, and their results.
+// to a target, their results, and the questions of a host whether others reach a target.
 package relay
 
 import (
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -64,3 +64,31 @@
 		}
 	})
 }
+
+func TestReachRoundTrip(t *testing.T) {
+	body, err := EncodeTarget("t-1", 7)
+	assert.NilError(t, err)
+	name, incarnation, err := DecodeTarget(body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(name), "t-1")
+	assert.Equal(t, uint64(incarnation), uint64(7))
+	for _, want := range []Reach{ReachUnknown, ReachOpen, ReachRefused} {
+		assert.Equal(t, DecodeReach(EncodeReach(want)), want)
+	}
+}
+
+// TestMalformedReach: a question that no host asks is rejected, and an answer that none gives
+// counts as no answer.
+func TestMalformedReach(t *testing.T) {
+	unnamed, err := EncodeTarget("", 7)
+	assert.NilError(t, err)
+	for name, body := range map[string][]byte{"empty": nil, "no name": unnamed, "text": []byte("t-1")} {
+		t.Run(name, func(t *testing.T) {
+			_, _, err := DecodeTarget(body)
+			assert.ErrorIs(t, err, ErrMalformed)
+		})
+	}
+	for name, body := range map[string][]byte{"empty": nil, "no such answer": {9}, "too long": {1, 1}} {
+		t.Run("answer, "+name, func(t *testing.T) { assert.Equal(t, DecodeReach(body), ReachUnknown) })
+	}
+}
