Test: records of ended targets reach all hosts, also without the store

TestRecordsSpread: each of three hosts records two ends in turn while the store is away; all know of each within a second. Measured: passes; fails at the first end without the Publish in loopPublish.

--- a/internal/host/quarantine_test.go
+++ b/internal/host/quarantine_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +15,7 @@
 
 	"citrontray.example/citrontray/internal/fake"
 	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/platform"
 	"citrontray.example/citrontray/internal/quarantine"
 )
@@ -132,6 +134,30 @@
 	d.eventually("the store no longer has it", 2*time.Second, func() bool { return !saved() })
 }
 
+// TestRecordsSpread checks that all hosts learn of a target that ended under a request, while
+// the store is away and each host in turn is the one that found it out.
+func TestRecordsSpread(t *testing.T) {
+	t.Parallel()
+	const bound = time.Second // well within the three seconds after which a fourth target must not end
+	d := deploy(t, 3, 1, 2)
+	d.awaitServed()
+	d.store.SetFaults(fake.SessionFaults{Down: true})
+	service := d.hosts[0].views.view().routes.Service("desk")
+	for i, h := range d.hosts {
+		for ends := range uint8(2) {
+			j := &job{host: h.Host, service: service, fingerprint: quarantine.Fingerprint(1 + i)}
+			end := quarantine.End{Target: place.Target(fmt.Sprint("desk-", ends)), Incarnation: 1}
+			h.quarantine.ended(time.Now(), j, h.quarantine.table.Suspicion(j.fingerprint), end)
+			d.eventually(fmt.Sprintf("all hosts know of end %d", ends+1), bound, func() bool {
+				return !slices.ContainsFunc(d.hosts, func(other *testHost) bool {
+					return other.quarantine.table.Record(time.Now(), j.fingerprint).Ends != ends+1
+				})
+			})
+		}
+	}
+	d.store.SetFaults(fake.SessionFaults{})
+}
+
 // TestCutPathEndsNoTarget checks that connections that are reset on the way to targets count
 // as no target's end: callers of other hosts would be refused.
 func TestCutPathEndsNoTarget(t *testing.T) {
