A grant of a leader whose process has ended counts as in transit for 30 s

Cause: the end of a process was taken for the end of what it had sent. Its renewal was in flight at the kill, less than the order timeout after it was sent, so nothing reset the connection, and it was sent again after the cut. Ruled out: orders of the next leader (other tokens), a leader inside the cut (none logged). Change: after a leader whose process ended without handing over, ranges count as held by the recorded owner until it acknowledges a token of a later term, or for 30 s and a grant. TestPredecessor had the end of the process as the end of its orders; it now expects the new state, and has cases for this process and the flag.

--- a/internal/host/campaign.go
+++ b/internal/host/campaign.go
@@ -161,7 +161,7 @@
 		c.predecessor = won.predecessor
 		c.log.Info("Leading.", slog.Uint64("term", uint64(won.doc.Term)), slog.Uint64("revision", uint64(won.revision)),
 			slog.String("before", string(won.predecessor.host)), slog.Bool("ended", won.predecessor.ended),
-			slog.Bool("stragglers", won.predecessor.priorMayRenew))
+			slog.Bool("stragglers", won.predecessor.priorMayRenew), slog.Bool("in_transit", won.predecessor.prior() == owner.PriorInTransit))
 		c.controller.lease.abandon()
 		c.controller.lease = c.lease
 		c.tasks.Add(1)
@@ -247,7 +247,8 @@
 		// This host's document is newer than the restored one.
 		doc.Rows, doc.Term = c.localDoc.Rows, max(doc.Term, c.localDoc.Term.Next(session.Era))
 	}
-	doc.PriorMayRenew, doc.AfterRestore = won.predecessor.prior() != owner.PriorEnded, won.predecessor.restored
+	prior := won.predecessor.prior()
+	doc.PriorMayRenew, doc.PriorInTransit, doc.AfterRestore = prior != owner.PriorEnded, prior == owner.PriorInTransit, won.predecessor.restored
 	doc.Leader, doc.LeaderIncarnation, doc.WriteID = c.host.site.Host, c.host.incarnation, rand.Uint64()
 	value, err := doc.Encode()
 	if err != nil {
@@ -308,9 +309,12 @@
 // store's era.
 func (c *campaign) predecessorOf(doc *owner.Doc, revision platform.Revision, era platform.Era) predecessor {
 	first, _ := c.host.store.eras()
+	self := doc.Leader == c.host.site.Host
+	crashed := self && doc.LeaderIncarnation != c.host.incarnation || c.members.Replaced(doc.Leader, doc.LeaderIncarnation, revision)
 	return predecessor{
-		host: doc.Leader, incarnation: doc.LeaderIncarnation, revision: revision, priorMayRenew: doc.PriorMayRenew,
-		ended:    doc.Leader == "" || doc.Leader == c.host.site.Host || c.members.Replaced(doc.Leader, doc.LeaderIncarnation, revision),
+		host: doc.Leader, incarnation: doc.LeaderIncarnation, revision: revision,
+		priorMayRenew: doc.PriorMayRenew, priorInTransit: doc.PriorInTransit,
+		ended: doc.Leader == "" || self || crashed, crashed: crashed,
 		restored: doc.HistoryLost(era, c.noLeaderKnown && first == era),
 	}
 }
--- a/internal/host/controller.go
+++ b/internal/host/controller.go
@@ -149,7 +149,8 @@
 		core: owner.New(owner.Config{
 			Service: service, Host: h.site.Host, Incarnation: h.incarnation,
 			GrantDuration: min(grantDuration, h.site.Bounds.MaxGrantDuration), RenewInterval: grantRenewInterval, LimitedRenewInterval: limitedRenewInterval, OrderTimeout: orderTimeout,
-			RenewGrace: renewGrace, LeaseTTL: max(leaseTTL, h.site.Bounds.MinSessionTTL),
+			MaxOrderTransit: maxOrderTransit,
+			RenewGrace:      renewGrace, LeaseTTL: max(leaseTTL, h.site.Bounds.MinSessionTTL),
 			Plan: planConfig, PlanInterval: planInterval, MaxRebalanceInterval: maxRebalanceInterval, FirstGrantTimeout: firstGrantTimeout,
 			MaxPublishInterval: maxPublishInterval, MinPublishInterval: minPublishInterval, ReleaseNotice: releaseNotice,
 			WriteBatchDelay: writeBatchDelay, SettleTime: fleetSettleTime, LeaseFreshness: leaseFreshness, ConfirmTimeout: confirmTimeout, ReclaimTimeout: reclaimTimeout,
--- a/internal/host/controller_test.go
+++ b/internal/host/controller_test.go
@@ -46,27 +46,30 @@
 }
 
 // TestPredecessor checks that the end of the predecessor does not count as the end of
-// the leaders before it, if it recorded that they may still renew grants.
+// the leaders before it, if it recorded that they may still renew grants, nor the end of a
+// process as that of the orders that it sent.
 func TestPredecessor(t *testing.T) {
 	members := member.List{Hosts: []member.Host{{Name: "again", Incarnation: 2, Revision: 9}, {Name: "on", Incarnation: 1, Revision: 1}}}
 	tests := map[string]struct {
 		doc  owner.Doc
 		want owner.Prior
 	}{
-		"before a restore":                      {owner.Doc{Term: owner.Term(0).Next(1)}, owner.PriorLost},
-		"just after a restore":                  {owner.Doc{Term: owner.Term(0).Next(2), AfterRestore: true}, owner.PriorLost},
-		"after the last restore":                {owner.Doc{Term: owner.Term(0).Next(2)}, owner.PriorEnded},
-		"handed over":                           {owner.Doc{}, owner.PriorEnded},
-		"handed over, earlier one may renew":    {owner.Doc{PriorMayRenew: true}, owner.PriorUnknown},
-		"this host":                             {owner.Doc{Leader: "self", LeaderIncarnation: 1}, owner.PriorEnded},
-		"this host, earlier one may renew":      {owner.Doc{Leader: "self", LeaderIncarnation: 1, PriorMayRenew: true}, owner.PriorUnknown},
-		"host restarted":                        {owner.Doc{Leader: "again", LeaderIncarnation: 1}, owner.PriorEnded},
-		"host restarted, earlier one may renew": {owner.Doc{Leader: "again", LeaderIncarnation: 1, PriorMayRenew: true}, owner.PriorUnknown},
-		"may still run":                         {owner.Doc{Leader: "on", LeaderIncarnation: 1}, owner.PriorUnknown},
+		"before a restore":                                 {owner.Doc{Term: owner.Term(0).Next(1)}, owner.PriorLost},
+		"just after a restore":                             {owner.Doc{Term: owner.Term(0).Next(2), AfterRestore: true}, owner.PriorLost},
+		"after the last restore":                           {owner.Doc{Term: owner.Term(0).Next(2)}, owner.PriorEnded},
+		"handed over":                                      {owner.Doc{}, owner.PriorEnded},
+		"handed over, earlier one may renew":               {owner.Doc{PriorMayRenew: true}, owner.PriorUnknown},
+		"handed over, orders of an earlier one in transit": {owner.Doc{PriorInTransit: true, PriorMayRenew: true}, owner.PriorInTransit},
+		"this process":                                     {owner.Doc{Leader: "self", LeaderIncarnation: 5}, owner.PriorEnded},
+		"this process, earlier one may renew":              {owner.Doc{Leader: "self", LeaderIncarnation: 5, PriorMayRenew: true}, owner.PriorUnknown},
+		"earlier process here":                             {owner.Doc{Leader: "self", LeaderIncarnation: 1}, owner.PriorInTransit},
+		"host restarted":                                   {owner.Doc{Leader: "again", LeaderIncarnation: 1}, owner.PriorInTransit},
+		"host restarted, earlier one may renew":            {owner.Doc{Leader: "again", LeaderIncarnation: 1, PriorMayRenew: true}, owner.PriorInTransit},
+		"may still run":                                    {owner.Doc{Leader: "on", LeaderIncarnation: 1}, owner.PriorUnknown},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			c := &controller{host: &Host{site: site.Site{Host: "self"}, store: &instrumentedStore{}}}
+			c := &controller{host: &Host{site: site.Site{Host: "self"}, incarnation: 5, store: &instrumentedStore{}}}
 			attempt := &campaign{controller: c, members: members}
 			era := platform.Era(0)
 			if test.doc.Term > 0 {
--- a/internal/host/notice.go
+++ b/internal/host/notice.go
@@ -110,7 +110,7 @@
 		}
 		if c.core.Leading() && n.host == c.predecessor.host && n.incarnation == c.predecessor.incarnation && !c.predecessor.ended {
 			c.log.Info("Predecessor has stopped.", slog.String("host", string(n.host)), slog.Uint64("term", uint64(c.core.Term())))
-			c.predecessorEnded(now)
+			c.predecessorEnded(now, false)
 		}
 	}
 }
@@ -119,11 +119,16 @@
 type predecessor struct {
 	host        place.Host
 	incarnation place.Incarnation
-	ended       bool
+	// ended is set once it certainly sends no more orders, crashed if it ended without
+	// handing over.
+	ended, crashed bool
 	// revision is the store revision of the last ownership document that it wrote.
 	revision platform.Revision
 	// priorMayRenew is set if leaders before it may still renew grants.
 	priorMayRenew bool
+	// priorInTransit is set if orders of such leaders may be in transit although they have
+	// ended.
+	priorInTransit bool
 	// restored is set if the store lost later leaders because it was restored from an
 	// older snapshot.
 	restored bool
@@ -134,16 +139,22 @@
 	switch {
 	case p.restored:
 		return owner.PriorLost
+	case p.crashed || p.priorInTransit:
+		return owner.PriorInTransit
 	case p.ended && !p.priorMayRenew:
 		return owner.PriorEnded
 	}
 	return owner.PriorUnknown
 }
 
-// predecessorEnded records that the predecessor sends no more orders.
-func (c *controller) predecessorEnded(now time.Time) {
-	c.predecessor.ended = true
-	if c.predecessor.prior() == owner.PriorEnded {
+// predecessorEnded records that the predecessor sends no more orders. crashed is set if it
+// ended without handing over.
+func (c *controller) predecessorEnded(now time.Time, crashed bool) {
+	c.predecessor.ended, c.predecessor.crashed = true, crashed
+	switch {
+	case crashed:
+		c.core.PriorInTransit(now)
+	case c.predecessor.prior() == owner.PriorEnded:
 		c.core.PriorEnded(now)
 	}
 }
@@ -187,7 +198,7 @@
 	}
 	if v.members.Replaced(c.predecessor.host, c.predecessor.incarnation, c.predecessor.revision) {
 		c.log.Info("Predecessor has restarted.", slog.String("host", string(c.predecessor.host)))
-		c.predecessorEnded(now)
+		c.predecessorEnded(now, true)
 		return
 	}
 	c.sendNotice(c.predecessor.host, noticeStop)
--- a/internal/host/orderclient.go
+++ b/internal/host/orderclient.go
@@ -13,6 +13,9 @@
 )
 
 const (
+	// maxOrderTransit is how long an order may be on its way after its sender has ended: the
+	// longest partition, and the pause between two retransmissions after it.
+	maxOrderTransit = 30 * time.Second
 	// orderTimeout limits a grant and its response.
 	orderTimeout = 600 * time.Millisecond
 	// releaseTimeout limits a release, which is acknowledged when the running work has
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -28,6 +28,10 @@
 	// OrderTimeout bounds the time until an order is answered; after it the connection
 	// is reset.
 	OrderTimeout time.Duration
+	// MaxOrderTransit bounds how long an order may be in transit after its sender has
+	// ended: nothing resets the connection then, and a network partition may delay what
+	// was sent on it.
+	MaxOrderTransit time.Duration
 	// RenewGrace is how long after the end of its lease a leader still renews grants.
 	// The next leader waits that long before it counts a grant of its predecessor as
 	// expired.
@@ -143,12 +147,15 @@
 // Prior is the state of the prior leaders, as far as it is known.
 type Prior uint8
 
-// A leader that has stopped, or whose process has ended, sends no more orders; one of
-// unknown state may renew grants until its renewal grace ends. The leaders before the
-// predecessor need not have ended when it has: see Doc.PriorMayRenew.
+// A leader that has stopped sends no more orders and has none in transit; one of unknown
+// state may renew grants until its renewal grace ends. The leaders before the predecessor
+// need not have ended when it has: see Doc.PriorMayRenew.
 const (
 	PriorUnknown Prior = iota
 	PriorEnded
+	// PriorInTransit: the process of a leader has ended without handing over, so that its
+	// last orders may still be in transit.
+	PriorInTransit
 	// PriorLost: the store was restored from an older snapshot, so that leaders and
 	// moves since that snapshot are unknown.
 	PriorLost
@@ -211,12 +218,14 @@
 	// priorMayRenewUntil is until when prior leaders may renew grants; it is in the
 	// past if they have ended.
 	priorMayRenewUntil time.Time
+	// priorInTransitUntil is until when orders of prior leaders may be in transit.
+	priorInTransitUntil time.Time
 	// frozenUntil is until when leaders that were lost in a restore of the store may
 	// still send orders. Until then ranges are only renewed, and none is taken to be
 	// free.
 	frozenUntil time.Time
-	// docFlagged is true if PriorMayRenew or AfterRestore is set in the document. A
-	// write clears both once neither applies any more.
+	// docFlagged is true if one of the flags of the document is set. A write clears them
+	// once none applies any more.
 	docFlagged  bool
 	lastConn    uint64
 	lastRelease uint64
@@ -255,12 +264,12 @@
 	if c.leading && doc.Term == c.term+1 && c.pending == nil && !c.termLost {
 		// No other host led in between, so the state is still valid.
 		c.term, c.revision, c.leaseEnd = doc.Term, revision, leaseEnd
-		c.changed, c.docFlagged = true, doc.PriorMayRenew || doc.AfterRestore
+		c.changed, c.docFlagged = true, doc.flagged()
 		return
 	}
 	c.reset()
 	c.leading, c.term, c.revision, c.leaseEnd = true, doc.Term, revision, leaseEnd
-	c.docFlagged = doc.PriorMayRenew || doc.AfterRestore
+	c.docFlagged = doc.flagged()
 	end := now.Add(c.cfg.OrderTimeout + c.cfg.maxGrantDuration())
 	if prior != PriorEnded {
 		end = end.Add(c.cfg.LeaseTTL + c.cfg.RenewGrace)
@@ -269,6 +278,10 @@
 	if prior == PriorLost {
 		c.frozenUntil = end
 	}
+	if prior == PriorInTransit {
+		c.priorInTransitUntil = now.Add(c.cfg.MaxOrderTransit)
+		end = later(end, c.priorInTransitUntil.Add(c.cfg.maxGrantDuration()))
+	}
 	for _, r := range doc.Rows {
 		// The predecessor has probably renewed this grant until just now.
 		next := &row{Row: r, state: held, since: now, expiresBy: end, routable: true, heldUntil: now.Add(c.cfg.GrantDuration)}
@@ -299,12 +312,29 @@
 	}
 }
 
+// PriorInTransit records that the process of the predecessor has ended without handing over.
+// A range counts as held by the owner that the predecessor knew until an order of this leader
+// reaches that owner, or no earlier one can arrive any more.
+func (c *Core) PriorInTransit(now time.Time) {
+	if now.Before(c.frozenUntil) {
+		return // ranges are not moved until then
+	}
+	c.priorInTransitUntil, c.docFlagged = now.Add(c.cfg.MaxOrderTransit), true
+	end := c.priorInTransitUntil.Add(c.cfg.maxGrantDuration())
+	for _, r := range c.rows {
+		if r.acked == 0 && r.state != free && r.state != writing {
+			r.expiresBy = later(r.expiresBy, end)
+		}
+	}
+}
+
 // reset drops the state of a term.
 func (c *Core) reset() {
 	c.leading, c.stopping, c.pending, c.rows = false, false, nil, nil
 	c.lastFence = 0
 	c.targetConns = make(map[place.Target]*targetConn)
-	c.plannedAt, c.rebalancedAt, c.priorMayRenewUntil = time.Time{}, time.Time{}, time.Time{}
+	c.plannedAt, c.rebalancedAt = time.Time{}, time.Time{}
+	c.priorMayRenewUntil, c.priorInTransitUntil = time.Time{}, time.Time{}
 	c.docFlagged, c.termLost, c.frozenUntil = false, false, time.Time{}
 }
 
@@ -380,7 +410,8 @@
 func (c *Core) Doc(now time.Time) Doc {
 	d := Doc{
 		Service: c.cfg.Service, Term: c.term, Leader: c.cfg.Host, LeaderIncarnation: c.cfg.Incarnation,
-		PriorMayRenew: now.Before(c.priorMayRenewUntil), AfterRestore: now.Before(c.frozenUntil), WriteID: rand.Uint64(),
+		PriorMayRenew: now.Before(c.priorMayRenewUntil), PriorInTransit: now.Before(c.priorInTransitUntil),
+		AfterRestore: now.Before(c.frozenUntil), WriteID: rand.Uint64(),
 	}
 	for _, r := range c.rows {
 		d.Rows = append(d.Rows, r.Row)
--- a/internal/owner/core_test.go
+++ b/internal/owner/core_test.go
@@ -19,7 +19,8 @@
 func testConfig() Config {
 	return Config{
 		Service: "s", Host: "h", Incarnation: 1, GrantDuration: 4 * time.Second, RenewInterval: time.Second, OrderTimeout: 600 * time.Millisecond,
-		RenewGrace: 8 * time.Second, LeaseTTL: 1800 * time.Millisecond, PlanInterval: 200 * time.Millisecond, FirstGrantTimeout: 800 * time.Millisecond,
+		MaxOrderTransit: 30 * time.Second,
+		RenewGrace:      8 * time.Second, LeaseTTL: 1800 * time.Millisecond, PlanInterval: 200 * time.Millisecond, FirstGrantTimeout: 800 * time.Millisecond,
 		Plan: partition.Config{MaxMoves: 12, MaxSpans: 6, MaxImbalance: 0.25, MinGap: 0.15}, SettleTime: time.Second,
 		LeaseFreshness: 900 * time.Millisecond, ConfirmTimeout: 300 * time.Millisecond, ReclaimTimeout: 400 * time.Millisecond,
 	}
@@ -595,3 +596,67 @@
 	assert.Assert(t, float64(back) > 0.8*float64(keys), "%d of %d keys have an owner again", back, keys)
 	assert.Assert(t, back < keys)
 }
+
+// TestOrdersInTransit: a range whose owner does not respond is free only once no order of an
+// ended leader can reach that owner any more, also for the leaders after the next one.
+func TestOrdersInTransit(t *testing.T) {
+	tests := map[string]struct {
+		prior      Prior
+		foundAfter time.Duration // PriorInTransit is called then, if not zero
+		responds   bool          // the owner acknowledges the first grant, and none after it
+		heldFor    time.Duration // at least
+		freeAfter  time.Duration // at most
+		flagged    bool          // 20 s after the start
+	}{
+		"all have stopped":                      {PriorEnded, 0, false, 4 * time.Second, 10 * time.Second, false},
+		"unknown":                               {PriorUnknown, 0, false, 13 * time.Second, 20 * time.Second, false},
+		"crashed":                               {PriorInTransit, 0, false, 30 * time.Second, 40 * time.Second, true},
+		"crashed, the owner responds":           {PriorInTransit, 0, true, 4 * time.Second, 10 * time.Second, true},
+		"found to have crashed":                 {PriorUnknown, 5 * time.Second, false, 35 * time.Second, 45 * time.Second, true},
+		"found to have crashed, owner responds": {PriorUnknown, 2 * time.Second, true, 4 * time.Second, 10 * time.Second, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			c, now := New(testConfig()), start
+			owner := place.TargetRow{Target: "t", Service: "s", Slots: 3, Incarnation: 1, Addr: netip.MustParseAddrPort("10.0.0.1:80")}
+			doc := EmptyDoc("s")
+			doc.Term, doc.PriorInTransit = 2, test.prior == PriorInTransit
+			doc.Rows[0].Target, doc.Rows[0].Addr, doc.Rows[0].Incarnation = owner.Target, owner.Addr, owner.Incarnation
+			c.BeginTerm(now, doc, 5, now.Add(c.cfg.LeaseTTL), test.prior)
+			acked, freeAt := false, time.Duration(0)
+			for ; freeAt == 0 && now.Sub(start) < 60*time.Second; now = now.Add(50 * time.Millisecond) {
+				age := now.Sub(start)
+				if test.foundAfter > 0 && age == test.foundAfter {
+					c.PriorInTransit(now)
+				}
+				if age == 20*time.Second {
+					got := c.Doc(now)
+					body, err := got.Encode()
+					assert.NilError(t, err)
+					got, err = DecodeDoc(body)
+					assert.NilError(t, err)
+					assert.Equal(t, got.PriorInTransit, test.flagged)
+				}
+				c.ExtendLease(now.Add(c.cfg.LeaseTTL))
+				c.SetTargets(now, map[place.Target]place.TargetRow{"t": owner})
+				for _, e := range c.Tick(now) {
+					if g, ok := e.(SendGrants); ok {
+						results := make([]error, len(g.Grants))
+						for i := range results {
+							if acked || !test.responds {
+								results[i] = target.ErrNotSent
+							}
+						}
+						acked = true
+						c.Granted(now, g, results)
+					}
+				}
+				if c.rows[0].state == free {
+					freeAt = age
+				}
+			}
+			assert.Assert(t, freeAt >= test.heldFor && freeAt <= test.freeAfter, "free after %v", freeAt)
+		})
+	}
+}
--- a/internal/owner/doc.go
+++ b/internal/owner/doc.go
@@ -55,6 +55,9 @@
 	LeaderIncarnation place.Incarnation
 	// PriorMayRenew is true while a leader before this one may still renew grants.
 	PriorMayRenew bool
+	// PriorInTransit is true while orders of a leader before this one may be in transit
+	// although its process has ended.
+	PriorInTransit bool
 	// AfterRestore is true if the store was recently restored from an older snapshot,
 	// so that the rows may not name the targets that hold the ranges.
 	AfterRestore bool
@@ -75,6 +78,9 @@
 	Handover target.Handover
 }
 
+// flagged reports whether a state of prior leaders is noted that ends after a time.
+func (d *Doc) flagged() bool { return d.PriorMayRenew || d.PriorInTransit || d.AfterRestore }
+
 // HistoryLost reports whether a restore of the store may have lost the names of
 // leaders and owners that came after this document: the store is of a later era, or was
 // restored shortly before the document was written. If there is no document, first
@@ -101,6 +107,7 @@
 	Rows              []wireRow `cbor:"6,keyasint"`
 	PriorMayRenew     bool      `cbor:"7,keyasint,omitempty"`
 	AfterRestore      bool      `cbor:"8,keyasint,omitempty"`
+	PriorInTransit    bool      `cbor:"9,keyasint,omitempty"`
 }
 
 type wireRow struct {
@@ -117,7 +124,7 @@
 func (d *Doc) Encode() ([]byte, error) {
 	w := wireDoc{
 		Service: string(d.Service), Term: uint64(d.Term), Leader: string(d.Leader), LeaderIncarnation: uint64(d.LeaderIncarnation), WriteID: d.WriteID,
-		PriorMayRenew: d.PriorMayRenew, AfterRestore: d.AfterRestore,
+		PriorMayRenew: d.PriorMayRenew, AfterRestore: d.AfterRestore, PriorInTransit: d.PriorInTransit,
 	}
 	for _, r := range d.Rows {
 		w.Rows = append(w.Rows, wireRow{
@@ -141,7 +148,8 @@
 	}
 	d := Doc{
 		Service: key.Service(w.Service), Term: Term(w.Term), Leader: place.Host(w.Leader),
-		LeaderIncarnation: place.Incarnation(w.LeaderIncarnation), WriteID: w.WriteID, PriorMayRenew: w.PriorMayRenew, AfterRestore: w.AfterRestore,
+		LeaderIncarnation: place.Incarnation(w.LeaderIncarnation), WriteID: w.WriteID,
+		PriorMayRenew: w.PriorMayRenew, AfterRestore: w.AfterRestore, PriorInTransit: w.PriorInTransit,
 	}
 	next := key.Point(0)
 	for _, r := range w.Rows {
--- a/internal/owner/random_test.go
+++ b/internal/owner/random_test.go
@@ -16,15 +16,17 @@
 	randomRuns = flag.Int("owner.runs", 300, "random runs of the core")
 	randomSeed = flag.Uint64("owner.seed", 1, "first seed of the random runs")
 	randomStep = flag.Uint64("owner.step", 1, "step between two seeds; 4, with first seed 2, runs only those with all kinds of faults")
-	// randomBreak disables one of the guards against a restored store.
+	// randomBreak disables one of the guards below.
 	randomBreak = flag.Int("owner.break", 0, "guard to disable, 0 for none")
 )
 
-// The guards that -owner.break disables.
+// The guards that -owner.break disables, against restores of the store and orders that
+// outlive their sender.
 const (
 	breakHistoryLost = iota + 1 // a leader trusts a document from before a restore
 	breakEraTerms               // terms do not rise with the era
 	breakFreeze                 // leaders lost in a restore are not waited for
+	breakInTransit              // orders of a process that has ended are not waited for
 )
 
 func (w *sim) guardDisabled(guard int) bool { return *randomBreak == guard }
@@ -52,6 +54,11 @@
 // seeds has this form.
 func (w *sim) hasCuts() bool { return w.seed%4 == 3 }
 
+// hasHeldOrders reports whether the network of a run holds orders back that it got before a
+// partition, and delivers them after it, although the process that sent them has ended. None
+// of the kept seeds has this form.
+func (w *sim) hasHeldOrders() bool { return w.seed%8 == 5 }
+
 // limitedTargets returns the targets that have a rate limit now: a third of them,
 // others every two seconds. It draws no random number.
 func (w *sim) limitedTargets() map[place.Target]bool {
@@ -81,6 +88,10 @@
 		w.after(duration, func() { h.cutOff = false })
 		return
 	}
+	if w.hasHeldOrders() && w.chance(0.2) {
+		w.killInPartition()
+		return
+	}
 	kinds := 14
 	if w.seed%2 == 0 {
 		kinds += 2 // added after the first kept seed
@@ -93,9 +104,7 @@
 		w.tracef("freeze %s %v", h.name, duration)
 		h.frozen = w.now.Add(duration)
 	case 1:
-		w.tracef("kill %s", h.name)
-		h.down = true
-		w.after(duration, func() { h.down, h.incarnation = false, h.incarnation+1; h.boot() })
+		h.restart(duration)
 	case 2:
 		w.tracef("%s can't reach the store %v", h.name, duration)
 		h.storeUnreachable = true
@@ -200,6 +209,34 @@
 	}
 }
 
+// killInPartition isolates some targets, and kills the leader once or several times meanwhile.
+func (w *sim) killInPartition() {
+	duration := w.randomDuration(time.Second, 20*time.Second)
+	for _, t := range w.targets {
+		if w.chance(0.4) {
+			w.tracef("isolate target %s %v", t.row.Target, duration)
+			t.unreachable = true
+			w.after(duration, func() { t.unreachable = false })
+		}
+	}
+	for at := time.Duration(0); at < duration; at += w.randomDuration(2*time.Second, 12*time.Second) {
+		w.after(at+w.randomDuration(0, time.Second), func() {
+			for _, h := range w.hosts {
+				if h.core.Leading() && !h.down {
+					h.restart(w.randomDuration(200*time.Millisecond, time.Second))
+				}
+			}
+		})
+	}
+}
+
+// restart kills a host, which is back after a time.
+func (h *simHost) restart(down time.Duration) {
+	h.sim.tracef("kill %s", h.name)
+	h.down = true
+	h.sim.after(down, func() { h.down, h.incarnation = false, h.incarnation+1; h.boot() })
+}
+
 func (w *sim) crash(t *simTarget) {
 	t.up = false
 	inc := t.row.Incarnation
@@ -283,6 +320,9 @@
 	seeds = append(seeds, 4026914)
 	// A write was refused in the last moment of the lease: checkStranded allows it.
 	seeds = append(seeds, 2001522, 2081334)
+	// A grant of a process that had ended reached its target after a partition, when another
+	// target had the range.
+	seeds = append(seeds, 389, 597, 1221, 1341)
 	for i := range uint64(runs) {
 		seeds = append(seeds, *randomSeed+i**randomStep)
 	}
--- a/internal/owner/simhost_test.go
+++ b/internal/owner/simhost_test.go
@@ -30,6 +30,8 @@
 	stopping, resigning bool
 	// priorMayRenew is true if leaders before the predecessor may still send orders.
 	priorMayRenew bool
+	// priorInTransit is true if orders of such leaders may be in transit.
+	priorInTransit bool
 	// cutOff is true while this host can't reach any target. yielding is true while it hands
 	// over because of that.
 	cutOff, yielding bool
@@ -54,6 +56,8 @@
 type simConn struct {
 	number      uint64
 	incarnation place.Incarnation
+	// used is true once an order on it had a response.
+	used bool
 }
 
 // boot starts an incarnation of a host.
@@ -255,14 +259,17 @@
 	base, era := w.store.revision, w.store.era
 	doc := w.store.doc
 	sent := w.now
+	stopped := doc.Leader == "" || doc.Leader == h.name && doc.LeaderIncarnation == h.incarnation
+	crashed := !stopped && w.store.incarnations[doc.Leader] != doc.LeaderIncarnation
+	h.predecessor, h.predecessorIncarnation, h.predecessorSettled = doc.Leader, doc.LeaderIncarnation, stopped || crashed
+	h.priorMayRenew, h.priorInTransit = doc.PriorMayRenew, doc.PriorInTransit || crashed
 	prior := PriorUnknown
-	if doc.Leader == "" || doc.Leader == h.name || w.store.incarnations[doc.Leader] != doc.LeaderIncarnation {
+	switch {
+	case h.priorInTransit && !w.guardDisabled(breakInTransit):
+		prior = PriorInTransit
+	case h.predecessorSettled && !doc.PriorMayRenew:
 		prior = PriorEnded
 	}
-	h.predecessor, h.predecessorIncarnation, h.predecessorSettled, h.priorMayRenew = doc.Leader, doc.LeaderIncarnation, prior == PriorEnded, doc.PriorMayRenew
-	if doc.PriorMayRenew {
-		prior = PriorUnknown
-	}
 	next := doc
 	if doc.HistoryLost(era, h.incarnation == 1 && h.firstEra == era) && !w.guardDisabled(breakHistoryLost) {
 		prior = PriorLost
@@ -272,7 +279,7 @@
 			next.Term = max(next.Term, h.core.Term())
 		}
 	}
-	next.PriorMayRenew = prior != PriorEnded
+	next.PriorMayRenew, next.PriorInTransit = prior != PriorEnded, prior == PriorInTransit
 	next.Term = next.Term.Next(era)
 	if w.guardDisabled(breakEraTerms) {
 		next.Term = doc.Term + 1
@@ -319,7 +326,7 @@
 			continue
 		}
 		if o.incarnation != h.predecessorIncarnation {
-			h.predecessorEnded()
+			h.predecessorCrashed()
 			return
 		}
 		if o.core.Leading() && o.core.Term() < h.core.Term() {
@@ -333,11 +340,20 @@
 
 func (h *simHost) predecessorEnded() {
 	h.predecessorSettled = true
-	if !h.priorMayRenew {
+	if !h.priorMayRenew && !h.priorInTransit {
 		h.core.PriorEnded(h.sim.now)
 	}
 }
 
+func (h *simHost) predecessorCrashed() {
+	if h.sim.guardDisabled(breakInTransit) {
+		h.predecessorEnded()
+		return
+	}
+	h.predecessorSettled, h.priorInTransit = true, true
+	h.core.PriorInTransit(h.sim.now)
+}
+
 func (h *simHost) apply(effects []Effect) {
 	for _, e := range effects {
 		switch e := e.(type) {
@@ -364,21 +380,33 @@
 	return nil
 }
 
-// order sends an order to a target and its response back. The order arrives in time, or
-// its connection is reset and it never arrives. An order that has arrived may be
-// carried out late and never answered.
-func (h *simHost) order(addr netip.AddrPort, apply func(t *simTarget, arrived time.Time) error, done func(error)) {
+// reaches reports whether the network connects a host with a target.
+func (h *simHost) reaches(t *simTarget) bool {
+	return !t.unreachable && !h.isolated && !h.cutOff && h.unreachableTarget != t
+}
+
+// order sends an order to a target, on a new connection or one that is open already, and its
+// response back. The order arrives in time, or its connection is reset and it never arrives,
+// unless the host ends before it resets the connection: see hold. An order that has arrived
+// may be carried out late and never answered.
+func (h *simHost) order(addr netip.AddrPort, open bool, apply func(t *simTarget, arrived time.Time) error, done func(error)) {
 	w, inc := h.sim, h.incarnation
 	bound := simConfig(h).OrderTimeout
 	t := w.targetAt(addr)
-	if h.isolated || h.cutOff || t == nil || !t.up || t.unreachable || h.unreachableTarget == t {
+	if open && t != nil && t.up && !h.reaches(t) && w.hasHeldOrders() {
+		h.hold(t, apply)
+		w.after(bound, func() { h.run(inc, func() { done(target.ErrUnanswered) }) })
+		return
+	}
+	if t == nil || !t.up || !h.reaches(t) {
 		wait := w.randomDuration(time.Millisecond, bound)
 		w.after(wait, func() { h.run(inc, func() { done(target.ErrNotSent) }) })
 		return
 	}
 	targetInc := t.row.Incarnation
 	w.after(w.randomDuration(time.Millisecond, 30*time.Millisecond), func() {
-		if !t.up || t.row.Incarnation != targetInc || t.unreachable || h.isolated || h.cutOff || h.unreachableTarget == t {
+		if !t.up || t.row.Incarnation != targetInc || !h.reaches(t) {
+			h.hold(t, apply)
 			w.after(bound, func() { h.run(inc, func() { done(target.ErrUnanswered) }) })
 			return
 		}
@@ -402,6 +430,27 @@
 	})
 }
 
+// hold keeps an order that can't reach its target. It is delivered after the partition, at a
+// retransmission, if the process has ended meanwhile: nothing resets its connection then.
+func (h *simHost) hold(t *simTarget, apply func(t *simTarget, arrived time.Time) error) {
+	w, inc, targetInc := h.sim, h.incarnation, t.row.Incarnation
+	if !w.hasHeldOrders() {
+		return
+	}
+	var retransmit func()
+	retransmit = func() {
+		switch {
+		case h.alive(inc), !t.up, t.row.Incarnation != targetInc:
+		case !h.reaches(t):
+			w.after(w.randomDuration(100*time.Millisecond, 6*time.Second), retransmit)
+		default:
+			w.tracef("%s gets an order that an ended process of %s has sent", t.row.Target, h.name)
+			_ = apply(t, w.now)
+		}
+	}
+	w.after(simConfig(h).OrderTimeout, retransmit)
+}
+
 func (h *simHost) sendGrants(e SendGrants) {
 	inc := h.incarnation
 	results := make([]error, len(e.Grants))
@@ -423,12 +472,16 @@
 			h.core.Granted(h.sim.now, e, results)
 			return
 		}
-		h.order(e.Addr, func(t *simTarget, arrived time.Time) error {
+		h.order(e.Addr, h.conns[e.Target].used, func(t *simTarget, arrived time.Time) error {
 			if t.row.Incarnation != h.conns[e.Target].incarnation {
 				return target.ErrNotSent // the connection ended with the incarnation
 			}
 			return t.grant(e.Grants[i], arrived)
 		}, func(err error) {
+			if conn := h.conns[e.Target]; err == nil && conn.number == e.Conn {
+				conn.used = true
+				h.conns[e.Target] = conn
+			}
 			results[i] = err
 			next(i + 1)
 		})
@@ -439,7 +492,7 @@
 
 func (h *simHost) sendRelease(e SendRelease) {
 	h.inFlight++
-	h.order(e.Addr, func(t *simTarget, _ time.Time) error {
+	h.order(e.Addr, false, func(t *simTarget, _ time.Time) error {
 		t.release(e.Release)
 		return nil
 	}, func(err error) {
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -13,7 +13,7 @@
 // writeDoc records the new owners of free ranges in the store, all in one write, and
 // clears the flags of the document that no longer hold.
 func (c *Core) writeDoc(now time.Time) {
-	clearFlags := c.docFlagged && !now.Before(later(c.priorMayRenewUntil, c.frozenUntil))
+	clearFlags := c.docFlagged && !now.Before(later(later(c.priorMayRenewUntil, c.priorInTransitUntil), c.frozenUntil))
 	if c.pending != nil || !c.writeDue(now) && !clearFlags || now.Sub(c.writeRefusedAt) < writeRetryDelay {
 		return
 	}
