A request is not sent again on a connection on which it was refused

Report of another operator: a faulty server wrote an earlier refusal once more on a kept connection; clients were told "not run" for requests that ran. It could happen here: a response is matched by the request's ID, and a refused request comes back with the same ID, mostly on the same connection, as the last one used is taken first. Its first refusal, written again after the second request had arrived, counted as the answer to that one, which ran. Ruled out: before the next request is written (bytes are waiting, the connection is not used), and requests with other IDs. Change: a connection keeps the IDs that were refused on it, 64 at most, then it is closed; another one is taken for them.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -41,6 +41,21 @@
 	// idleTimeout is the time after which the target closes the idle connection, as the
 	// last response states it; zero if it states none.
 	idleTimeout time.Duration
+	// refused are the IDs of the requests that were refused on this connection.
+	refused []string
+}
+
+// maxRefusals is how many refusals a connection carries before it is closed.
+const maxRefusals = 64
+
+// mayCarry reports whether a request may be sent on this connection. One that was refused on
+// it may not: a target that writes the refusal again would seem to refuse it once more.
+func (c *conn) mayCarry(id string) bool { return !slices.Contains(c.refused, id) }
+
+// noteRefusal records that a request was refused.
+func (c *conn) noteRefusal(id string) {
+	c.refused = append(c.refused, id)
+	c.broken = c.broken || len(c.refused) >= maxRefusals
 }
 
 // idleMargin is how long before the end of its idle timeout a connection is no longer
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -79,9 +80,13 @@
 	}
 	idle := c.idleFor(now)
 	result := c.roundTrip(r, p.host, now)
-	if u, ok := result.(Uncertain); ok {
+	switch u := result.(type) {
+	case Uncertain:
 		u.Idle = idle
 		result = u
+	case Refused:
+		c.noteRefusal(r.ID)
+	case Completed, NotSent:
 	}
 	if stop != nil && !stop() {
 		c.broken = true
@@ -93,7 +98,10 @@
 // take returns an idle connection that is reusable, or opens one.
 func (p *Pool) take(ctx context.Context, r *Request, now time.Time) (*conn, error) {
 	for {
-		c, err := p.takeIdle()
+		c, unused, err := p.takeIdle(r.ID)
+		if unused != nil {
+			_ = unused.Close()
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -108,25 +116,35 @@
 	}
 }
 
-// takeIdle returns the idle connection that was used last. If there is none, it
-// reserves a new connection and returns nil.
-func (p *Pool) takeIdle() (*conn, error) {
+// takeIdle returns the idle connection that was used last and may carry the request. If there
+// is none, it reserves a new connection and returns nil, and an idle connection to be closed
+// for it if there would be too many.
+func (p *Pool) takeIdle(id string) (c, unused *conn, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
-		return nil, ErrClosed
+		return nil, nil, ErrClosed
 	}
-	if n := len(p.idle); n > 0 {
-		c := p.idle[n-1]
-		p.idle[n-1] = nil
-		p.idle = p.idle[:n-1]
-		return c, nil
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if p.idle[i].mayCarry(id) {
+			return p.removeIdle(i), nil, nil
+		}
 	}
-	if p.open >= p.cfg.MaxOpen {
-		return nil, ErrFull
+	if p.open < p.cfg.MaxOpen {
+		p.open++
+		return nil, nil, nil
 	}
-	p.open++
-	return nil, nil
+	if len(p.idle) == 0 {
+		return nil, nil, ErrFull
+	}
+	return nil, p.removeIdle(0), nil
+}
+
+// removeIdle takes a connection out of the idle ones. The caller holds mu.
+func (p *Pool) removeIdle(i int) *conn {
+	c := p.idle[i]
+	p.idle = slices.Delete(p.idle, i, i+1)
+	return c
 }
 
 func (p *Pool) connect(ctx context.Context, deadline time.Time) (*conn, error) {
