The path to a target that is back at another address is not lost

Cause: a path is kept by the target's name. A target that ended and is back under its name at another address had the lost path of its last one, and probes went to the address that nobody serves: it stayed lost for good. Evidence: TestTargetAtAnotherAddress, both cases fail without the two comparisons. Change: a path is that to an address; one to another address is forgotten.

--- a/internal/host/paths.go
+++ b/internal/host/paths.go
@@ -93,7 +93,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	service := key.Service(v.targets[name].Service)
-	return m.table.Lost(name) || m.table.ServiceLost(service, len(v.services[service]))
+	return m.table.Lost(v.targets[name]) || m.table.ServiceLost(service, len(v.services[service]))
 }
 
 // serviceLost reports whether this host has no path to any target of a service.
@@ -141,7 +141,7 @@
 	for {
 		now, v := time.Now(), m.host.views.view()
 		m.mu.Lock()
-		m.table.Prune(now, func(name place.Target) bool { _, ok := v.targets[name]; return ok })
+		m.table.Prune(now, func(name place.Target) (place.TargetRow, bool) { row, ok := v.targets[name]; return row, ok })
 		due := m.table.Probes(now)
 		next := m.table.NextProbe()
 		m.mu.Unlock()
--- a/internal/path/path.go
+++ b/internal/path/path.go
@@ -151,10 +151,11 @@
 	return s != nil && len(s.unreachable) > 0 && len(s.unreachable) >= min(lostThreshold, targets)
 }
 
-// Lost reports whether the last attempt to connect to the target failed.
-func (t *Table) Lost(name place.Target) bool {
-	p := t.paths[name]
-	return p != nil && p.lost
+// Lost reports whether the last attempt to connect to the target failed, at the address that
+// it has now.
+func (t *Table) Lost(row place.TargetRow) bool {
+	p := t.paths[row.Target]
+	return p != nil && p.lost && p.row.Addr == row.Addr
 }
 
 // LostTargets returns the targets among rows, all those of a service, whose paths are lost:
@@ -166,7 +167,7 @@
 	all := t.ServiceLost(key.Service(rows[0].Service), len(rows))
 	var out []place.Target
 	for i := range rows {
-		if all || t.Lost(rows[i].Target) {
+		if all || t.Lost(rows[i]) {
 			out = append(out, rows[i].Target)
 		}
 	}
@@ -237,11 +238,12 @@
 	return changed
 }
 
-// Prune removes the paths to targets that are no longer listed or were not used for a
-// while.
-func (t *Table) Prune(now time.Time, listed func(place.Target) bool) {
+// Prune removes the paths to targets that are no longer listed, or at another address, or were
+// not used for a while. listed returns the row of a target.
+func (t *Table) Prune(now time.Time, listed func(place.Target) (place.TargetRow, bool)) {
 	gone := func(name place.Target, p *path) bool {
-		return !p.probing && (!listed(name) || now.Sub(p.updatedAt) > retention)
+		row, ok := listed(name)
+		return !p.probing && (!ok || row.Addr != p.row.Addr || now.Sub(p.updatedAt) > retention)
 	}
 	maps.DeleteFunc(t.paths, gone)
 	for _, s := range t.services {
--- a/internal/path/path_test.go
+++ b/internal/path/path_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -66,7 +68,7 @@
 		table.Record(now.Add(time.Second), now.Add(-time.Second), row(i), Unreachable)
 	}
 	assert.Assert(t, !table.ServiceLost("s", 10))
-	assert.Assert(t, table.Lost("t0"))
+	assert.Assert(t, table.Lost(row(0)))
 }
 
 // TestProbesAreBounded: however many paths are lost, few are probed at the same time, each
@@ -149,9 +151,34 @@
 	table := New()
 	table.Record(now, now, row(0), Unreachable)
 	table.Record(now, now, row(1), Unreachable)
-	table.Prune(now, func(name place.Target) bool { return name != "t0" })
-	assert.Assert(t, !table.Lost("t0"))
-	assert.Assert(t, table.Lost("t1"))
-	table.Prune(now.Add(retention+time.Second), func(place.Target) bool { return true })
-	assert.Assert(t, !table.Lost("t1"))
+	table.Prune(now, func(name place.Target) (place.TargetRow, bool) { return row(1), name == "t1" })
+	assert.Assert(t, !table.Lost(row(0)))
+	assert.Assert(t, table.Lost(row(1)))
+	table.Prune(now.Add(retention+time.Second), func(place.Target) (place.TargetRow, bool) { return row(1), true })
+	assert.Assert(t, !table.Lost(row(1)))
+}
+
+// TestTargetAtAnotherAddress: a target that is back at another address has another path. Its
+// earlier one is neither lost for it nor probed.
+func TestTargetAtAnotherAddress(t *testing.T) {
+	for name, targets := range map[string]int{"one target": 1, "three targets": 3} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			table := New()
+			moved := rows(targets)
+			for i := range moved {
+				table.Record(now, now, moved[i], Unreachable)
+				moved[i].Addr, moved[i].Incarnation = netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:80", i)), 2
+			}
+			assert.Assert(t, !table.Lost(moved[0]))
+			now = now.Add(time.Second)
+			table.Prune(now, func(name place.Target) (place.TargetRow, bool) {
+				i := slices.IndexFunc(moved, func(r place.TargetRow) bool { return r.Target == name })
+				return moved[i], true
+			})
+			assert.Equal(t, len(table.LostTargets(moved)), 0)
+			assert.Assert(t, !table.ServiceLost("s", targets))
+			assert.Equal(t, len(table.Probes(now)), 0)
+		})
+	}
 }
