--- a/internal/fake/rangetarget.go
+++ b/internal/fake/rangetarget.go
@@ -49,6 +49,9 @@
 	SlowClock float64
 	// OnArrival, where set, is called with each request that arrives.
 	OnArrival func(req *http.Request)
+	// OnAccepted, where set, is called with each request that is not for another target or
+	// for a key of another target.
+	OnAccepted func(req *http.Request)
 	// Deadly, where set, reports whether a request ends the target. Once it has run for a
 	// while, OnEnd is called, which has to end the target.
 	Deadly func(req *http.Request) bool
@@ -130,7 +133,7 @@
 		return nil, fmt.Errorf("fake: %w", err)
 	}
 	next := NewRangeTarget(r.Name, r.Addr, r.Slots, r.names, r.runs)
-	next.Keyless, next.OnArrival, next.Deadly, next.OnEnd = r.Keyless, r.OnArrival, r.Deadly, r.OnEnd
+	next.Keyless, next.OnArrival, next.OnAccepted, next.Deadly, next.OnEnd = r.Keyless, r.OnArrival, r.OnAccepted, r.Deadly, r.OnEnd
 	next.server = &http.Server{Handler: next}
 	go next.run(l)
 	return next, nil
@@ -215,6 +218,9 @@
 			return http.StatusMisdirectedRequest, r.faults, draw
 		}
 	}
+	if r.OnAccepted != nil {
+		r.OnAccepted(req)
+	}
 	const queue = 12
 	if r.running >= r.Slots+queue || draw < r.faults.Refuse {
 		return http.StatusServiceUnavailable, r.faults, draw
