A target that has ended is not waited for after the end of a leader

Cause: the wait is for orders that may reach the owner late; a process that has ended takes none. Change: after an order fails because the connection is refused, the host asks others (KindReach), as for ends under a request; a target that is listed at another address with a later incarnation has ended, too. Its ranges are then free when they would be without orders in transit. A range that waits is offered to its owner again even if that had left an order unanswered: the wait is longer than a grant. Without it being known that a prior leader may renew, the document no longer says so.

--- a/internal/host/campaign.go
+++ b/internal/host/campaign.go
@@ -248,7 +248,8 @@
 		doc.Rows, doc.Term = c.localDoc.Rows, max(doc.Term, c.localDoc.Term.Next(session.Era))
 	}
 	prior := won.predecessor.prior()
-	doc.PriorMayRenew, doc.PriorInTransit, doc.AfterRestore = prior != owner.PriorEnded, prior == owner.PriorInTransit, won.predecessor.restored
+	doc.PriorMayRenew = won.predecessor.mayRenew() || prior == owner.PriorLost
+	doc.PriorInTransit, doc.AfterRestore = prior == owner.PriorInTransit, won.predecessor.restored
 	doc.Leader, doc.LeaderIncarnation, doc.WriteID = c.host.site.Host, c.host.incarnation, rand.Uint64()
 	value, err := doc.Encode()
 	if err != nil {
--- a/internal/host/notice.go
+++ b/internal/host/notice.go
@@ -134,6 +134,9 @@
 	restored bool
 }
 
+// mayRenew reports whether a prior leader may still renew grants.
+func (p *predecessor) mayRenew() bool { return !p.ended || p.priorMayRenew }
+
 // prior returns what is known of all prior leaders.
 func (p *predecessor) prior() owner.Prior {
 	switch {
@@ -141,10 +144,10 @@
 		return owner.PriorLost
 	case p.crashed || p.priorInTransit:
 		return owner.PriorInTransit
-	case p.ended && !p.priorMayRenew:
-		return owner.PriorEnded
+	case p.mayRenew():
+		return owner.PriorUnknown
 	}
-	return owner.PriorUnknown
+	return owner.PriorEnded
 }
 
 // predecessorEnded records that the predecessor sends no more orders. crashed is set if it
@@ -153,7 +156,7 @@
 	c.predecessor.ended, c.predecessor.crashed = true, crashed
 	switch {
 	case crashed:
-		c.core.PriorInTransit(now)
+		c.core.PriorInTransit(now, c.predecessor.mayRenew())
 	case c.predecessor.prior() == owner.PriorEnded:
 		c.core.PriorEnded(now)
 	}
--- a/internal/host/orderclient.go
+++ b/internal/host/orderclient.go
@@ -53,6 +53,9 @@
 	}
 	conn, err := c.conn(ctx, e)
 	if err != nil {
+		for i := range results {
+			results[i] = errors.Join(target.ErrNotSent, err)
+		}
 		c.log.Debug("No order connection to target.", slog.String("target", string(e.Target)), slog.Any("error", err))
 		return results, signal
 	}
--- a/internal/host/tasks.go
+++ b/internal/host/tasks.go
@@ -4,12 +4,15 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net/netip"
+	"syscall"
 	"time"
 
 	"citrontray.example/citrontray/internal/dispatch"
 	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/member"
 	"citrontray.example/citrontray/internal/owner"
+	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/platform"
 	"citrontray.example/citrontray/internal/target"
 )
@@ -31,8 +34,12 @@
 	for _, err := range results {
 		t.host.metrics.countOrder(t.service, "grant", orderResult(err))
 	}
+	ended := t.effect.Probe && t.hasEnded(ctx, t.effect.Target, t.effect.Addr, results[0])
 	t.post(func(now time.Time) bool {
 		t.core.Granted(now, t.effect, results)
+		if ended {
+			t.core.TargetEnded(now, t.effect.Target, t.effect.Addr)
+		}
 		if signal.Leaving {
 			t.markLeaving(t.effect.Target)
 		}
@@ -66,7 +73,26 @@
 		t.log.Info("Release failed.", slog.String("target", string(t.effect.Target)),
 			slog.String("range", t.effect.Release.Range.String()), slog.Any("error", err))
 	}
-	t.post(func(now time.Time) bool { t.core.Released(now, t.effect, handover, err); return true })
+	ended := t.effect.Probe && t.hasEnded(ctx, t.effect.Target, t.effect.Addr, err)
+	t.post(func(now time.Time) bool {
+		t.core.Released(now, t.effect, handover, err)
+		if ended {
+			t.core.TargetEnded(now, t.effect.Target, t.effect.Addr)
+		}
+		return true
+	})
+}
+
+// hasEnded reports whether the process of a target has ended, after an order to it has failed.
+func (c *controller) hasEnded(ctx context.Context, name place.Target, addr netip.AddrPort, err error) bool {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
+	row := c.host.views.view().targets[name]
+	if row.Addr != addr {
+		row = place.TargetRow{Target: name, Service: string(c.service), Addr: addr}
+	}
+	return c.host.endChecks.hasEnded(ctx, row)
 }
 
 // orderResult returns the metric label for the result of an order.
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -101,6 +101,8 @@
 	Addr   netip.AddrPort
 	Conn   uint64
 	Grants []target.Grant
+	// Probe is set if it matters whether the target has ended: see TargetEnded.
+	Probe bool
 }
 
 // SendRelease takes a range back, on a connection of its own.
@@ -109,6 +111,8 @@
 	Target  place.Target
 	Addr    netip.AddrPort
 	Release target.Release
+	// Probe is set if it matters whether the target has ended: see TargetEnded.
+	Probe bool
 }
 
 // WriteDoc replaces the document at revision Expect, if this host is still the leader.
@@ -219,7 +223,8 @@
 	// past if they have ended.
 	priorMayRenewUntil time.Time
 	// priorInTransitUntil is until when orders of prior leaders may be in transit.
-	priorInTransitUntil time.Time
+	// priorExpiresBy is when the grants of prior leaders have expired that were not.
+	priorInTransitUntil, priorExpiresBy time.Time
 	// frozenUntil is until when leaders that were lost in a restore of the store may
 	// still send orders. Until then ranges are only renewed, and none is taken to be
 	// free.
@@ -271,10 +276,11 @@
 	c.leading, c.term, c.revision, c.leaseEnd = true, doc.Term, revision, leaseEnd
 	c.docFlagged = doc.flagged()
 	end := now.Add(c.cfg.OrderTimeout + c.cfg.maxGrantDuration())
-	if prior != PriorEnded {
+	if prior == PriorUnknown || prior == PriorLost || doc.PriorMayRenew {
 		end = end.Add(c.cfg.LeaseTTL + c.cfg.RenewGrace)
 		c.priorMayRenewUntil = now.Add(c.cfg.LeaseTTL + c.cfg.RenewGrace)
 	}
+	c.priorExpiresBy = end
 	if prior == PriorLost {
 		c.frozenUntil = end
 	}
@@ -314,11 +320,15 @@
 
 // PriorInTransit records that the process of the predecessor has ended without handing over.
 // A range counts as held by the owner that the predecessor knew until an order of this leader
-// reaches that owner, or no earlier one can arrive any more.
-func (c *Core) PriorInTransit(now time.Time) {
+// reaches that owner, or no earlier one can arrive any more. mayRenew is set if a leader
+// before the predecessor may still renew grants.
+func (c *Core) PriorInTransit(now time.Time, mayRenew bool) {
 	if now.Before(c.frozenUntil) {
 		return // ranges are not moved until then
 	}
+	if sent := now.Add(c.cfg.maxGrantDuration()); !mayRenew && c.priorExpiresBy.After(sent) {
+		c.priorMayRenewUntil, c.priorExpiresBy = time.Time{}, sent
+	}
 	c.priorInTransitUntil, c.docFlagged = now.Add(c.cfg.MaxOrderTransit), true
 	end := c.priorInTransitUntil.Add(c.cfg.maxGrantDuration())
 	for _, r := range c.rows {
@@ -328,13 +338,30 @@
 	}
 }
 
+// TargetEnded records that the process of a target at an address has ended: no order that is
+// in transit to it has an effect any more.
+func (c *Core) TargetEnded(now time.Time, name place.Target, addr netip.AddrPort) {
+	for _, r := range c.rows {
+		if r.Target == name && r.Addr == addr && c.awaitsTransit(now, r) {
+			r.expiresBy = c.priorExpiresBy
+		}
+	}
+}
+
+// awaitsTransit reports whether a range only waits for orders of prior leaders that may be in
+// transit: it would be free sooner because of any other grant.
+func (c *Core) awaitsTransit(now time.Time, r *row) bool {
+	return r.acked == 0 && r.unacked == 0 && now.Before(c.priorInTransitUntil) && r.expiresBy.After(c.priorExpiresBy) &&
+		r.state != free && r.state != writing
+}
+
 // reset drops the state of a term.
 func (c *Core) reset() {
 	c.leading, c.stopping, c.pending, c.rows = false, false, nil, nil
 	c.lastFence = 0
 	c.targetConns = make(map[place.Target]*targetConn)
 	c.plannedAt, c.rebalancedAt = time.Time{}, time.Time{}
-	c.priorMayRenewUntil, c.priorInTransitUntil = time.Time{}, time.Time{}
+	c.priorMayRenewUntil, c.priorInTransitUntil, c.priorExpiresBy = time.Time{}, time.Time{}, time.Time{}
 	c.docFlagged, c.termLost, c.frozenUntil = false, false, time.Time{}
 }
 
@@ -470,6 +497,10 @@
 		// already.
 		if t := newest[r.Addr]; t.Target != r.Target && t.Incarnation > r.Incarnation {
 			c.markFree(now, r, "Another target has the address.")
+			continue
+		}
+		if t := targets[r.Target]; t.Incarnation > r.Incarnation && t.Addr != r.Addr {
+			c.TargetEnded(now, r.Target, r.Addr)
 		}
 	}
 }
--- a/internal/owner/core_test.go
+++ b/internal/owner/core_test.go
@@ -600,20 +600,31 @@
 // TestOrdersInTransit: a range whose owner does not respond is free only once no order of an
 // ended leader can reach that owner any more, also for the leaders after the next one.
 func TestOrdersInTransit(t *testing.T) {
+	const (
+		silent    = iota // the owner does not respond
+		responds         // it acknowledges the first grant, and none after it
+		ended            // its process is found to have ended
+		elsewhere        // it is listed at another address, with a later incarnation
+	)
 	tests := map[string]struct {
-		prior      Prior
-		foundAfter time.Duration // PriorInTransit is called then, if not zero
-		responds   bool          // the owner acknowledges the first grant, and none after it
-		heldFor    time.Duration // at least
-		freeAfter  time.Duration // at most
-		flagged    bool          // 20 s after the start
+		prior Prior
+		owner int
+		// foundAfter is when PriorInTransit is called, if not zero.
+		foundAfter time.Duration
+		// The range is free between these times after the start.
+		earliest, latest time.Duration
+		// flagged is whether the document tells the next leader, 20 s after the start.
+		flagged bool
 	}{
-		"all have stopped":                      {PriorEnded, 0, false, 4 * time.Second, 10 * time.Second, false},
-		"unknown":                               {PriorUnknown, 0, false, 13 * time.Second, 20 * time.Second, false},
-		"crashed":                               {PriorInTransit, 0, false, 30 * time.Second, 40 * time.Second, true},
-		"crashed, the owner responds":           {PriorInTransit, 0, true, 4 * time.Second, 10 * time.Second, true},
-		"found to have crashed":                 {PriorUnknown, 5 * time.Second, false, 35 * time.Second, 45 * time.Second, true},
-		"found to have crashed, owner responds": {PriorUnknown, 2 * time.Second, true, 4 * time.Second, 10 * time.Second, true},
+		"all have stopped":                {prior: PriorEnded, earliest: 4 * time.Second, latest: 6 * time.Second},
+		"unknown":                         {prior: PriorUnknown, earliest: 14 * time.Second, latest: 16 * time.Second},
+		"crashed":                         {prior: PriorInTransit, earliest: 34 * time.Second, latest: 36 * time.Second, flagged: true},
+		"crashed, owner responds":         {prior: PriorInTransit, owner: responds, earliest: 4 * time.Second, latest: 6 * time.Second},
+		"crashed, owner has ended":        {prior: PriorInTransit, owner: ended, earliest: 4 * time.Second, latest: 6 * time.Second},
+		"crashed, owner restarted":        {prior: PriorInTransit, owner: elsewhere, earliest: 4 * time.Second, latest: 6 * time.Second},
+		"found to have crashed":           {prior: PriorUnknown, foundAfter: 5 * time.Second, earliest: 39 * time.Second, latest: 41 * time.Second, flagged: true},
+		"found to have crashed, responds": {prior: PriorUnknown, owner: responds, foundAfter: 2 * time.Second, earliest: 4 * time.Second, latest: 6 * time.Second},
+		"found to have crashed, ended":    {prior: PriorUnknown, owner: ended, foundAfter: 5 * time.Second, earliest: 9 * time.Second, latest: 11 * time.Second},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -628,7 +639,7 @@
 			for ; freeAt == 0 && now.Sub(start) < 60*time.Second; now = now.Add(50 * time.Millisecond) {
 				age := now.Sub(start)
 				if test.foundAfter > 0 && age == test.foundAfter {
-					c.PriorInTransit(now)
+					c.PriorInTransit(now, false)
 				}
 				if age == 20*time.Second {
 					got := c.Doc(now)
@@ -639,24 +650,31 @@
 					assert.Equal(t, got.PriorInTransit, test.flagged)
 				}
 				c.ExtendLease(now.Add(c.cfg.LeaseTTL))
-				c.SetTargets(now, map[place.Target]place.TargetRow{"t": owner})
+				listed := owner
+				if test.owner == elsewhere {
+					listed.Incarnation, listed.Addr = 2, netip.MustParseAddrPort("10.0.0.2:80")
+				}
+				c.SetTargets(now, map[place.Target]place.TargetRow{"t": listed})
 				for _, e := range c.Tick(now) {
 					if g, ok := e.(SendGrants); ok {
 						results := make([]error, len(g.Grants))
 						for i := range results {
-							if acked || !test.responds {
+							if acked || test.owner != responds {
 								results[i] = target.ErrNotSent
 							}
 						}
 						acked = true
 						c.Granted(now, g, results)
+						if g.Probe && test.owner == ended {
+							c.TargetEnded(now, g.Target, g.Addr)
+						}
 					}
 				}
 				if c.rows[0].state == free {
 					freeAt = age
 				}
 			}
-			assert.Assert(t, freeAt >= test.heldFor && freeAt <= test.freeAfter, "free after %v", freeAt)
+			assert.Assert(t, freeAt >= test.earliest && freeAt <= test.latest, "free after %v", freeAt)
 		})
 	}
 }
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -148,7 +148,7 @@
 	c.lastRelease++
 	r.state, r.releaseID = releasing, c.lastRelease
 	c.emit(SendRelease{
-		ID: r.releaseID, Target: r.Target, Addr: r.Addr,
+		ID: r.releaseID, Target: r.Target, Addr: r.Addr, Probe: c.awaitsTransit(now, r),
 		Release: target.Release{Range: r.Range, FencingToken: r.fence},
 	})
 }
@@ -197,8 +197,10 @@
 	tc := c.targetConn(name)
 	if !tc.failingSince.IsZero() && tc.uncertain {
 		// An order that gets no response may extend a grant all the same. A range that
-		// the owner may no longer hold is left to expire.
-		rows = slices.DeleteFunc(rows, func(r *row) bool { return now.After(r.heldUntil) })
+		// the owner may no longer hold is left to expire, unless that takes longer than
+		// another grant.
+		byThen := now.Add(c.cfg.OrderTimeout + c.cfg.maxGrantDuration())
+		rows = slices.DeleteFunc(rows, func(r *row) bool { return now.After(r.heldUntil) && byThen.After(r.expiresBy) })
 	}
 	if !now.Before(c.leaseEnd) || now.Before(c.frozenUntil) {
 		rows = slices.DeleteFunc(rows, func(r *row) bool { return !c.renewable(now, r) })
@@ -215,6 +217,7 @@
 			r.fence = c.term.fence(c.lastFence)
 		}
 		r.grantConn = tc.conn
+		e.Probe = e.Probe || c.awaitsTransit(now, r)
 		e.Grants = append(e.Grants, target.Grant{Range: r.Range, FencingToken: r.fence, Duration: c.cfg.GrantDuration, Handover: r.Handover})
 	}
 	tc.inFlight, tc.sentAt = true, now
--- a/internal/owner/simhost_test.go
+++ b/internal/owner/simhost_test.go
@@ -279,7 +279,8 @@
 			next.Term = max(next.Term, h.core.Term())
 		}
 	}
-	next.PriorMayRenew, next.PriorInTransit = prior != PriorEnded, prior == PriorInTransit
+	next.PriorMayRenew = !h.predecessorSettled || h.priorMayRenew || prior == PriorLost
+	next.PriorInTransit = prior == PriorInTransit
 	next.Term = next.Term.Next(era)
 	if w.guardDisabled(breakEraTerms) {
 		next.Term = doc.Term + 1
@@ -351,7 +352,7 @@
 		return
 	}
 	h.predecessorSettled, h.priorInTransit = true, true
-	h.core.PriorInTransit(h.sim.now)
+	h.core.PriorInTransit(h.sim.now, h.priorMayRenew)
 }
 
 func (h *simHost) apply(effects []Effect) {
@@ -470,6 +471,7 @@
 		if i == len(e.Grants) || i > 0 && results[i-1] != nil {
 			h.inFlight--
 			h.core.Granted(h.sim.now, e, results)
+			h.probe(e.Probe, e.Target, e.Addr)
 			return
 		}
 		h.order(e.Addr, h.conns[e.Target].used, func(t *simTarget, arrived time.Time) error {
@@ -490,6 +492,13 @@
 	h.sim.after(h.sim.randomDuration(0, 2*time.Millisecond), func() { h.run(inc, func() { next(0) }) })
 }
 
+// probe tells the core of a target that has ended: its address refuses connections.
+func (h *simHost) probe(wanted bool, name place.Target, addr netip.AddrPort) {
+	if t := h.sim.targetAt(addr); wanted && t != nil && !t.up && h.reaches(t) {
+		h.core.TargetEnded(h.sim.now, name, addr)
+	}
+}
+
 func (h *simHost) sendRelease(e SendRelease) {
 	h.inFlight++
 	h.order(e.Addr, false, func(t *simTarget, _ time.Time) error {
@@ -498,6 +507,7 @@
 	}, func(err error) {
 		h.inFlight--
 		h.core.Released(h.sim.now, e, "token", err)
+		h.probe(e.Probe, e.Target, e.Addr)
 	})
 }
 
