A leader stops in time although the outcome of its last write is unknown

Seen: a host of an ended soak, whose store was gone, logged "Stopped." after SIGTERM and did not exit (goroutine dump: commitUntilKnown repeats a write; Host.Run waits for the controller's tasks). Cause: writes of a leader ran with a context that nothing cancels, so that they could finish during a stop. One whose response was lost is repeated until the store says whether it took effect: for good if the store is gone. Evidence: TestStopWithUnknownWrite, new: the host did not stop within twice its grace. Change: writes end with the controller, which ends after the attempt to hand over. Nothing depends on their outcome then: the next leader reads the document. Orders keep finishing; their timeouts limit them. Measured: the new test and TestLeaderStops* pass.

--- a/internal/host/controller.go
+++ b/internal/host/controller.go
@@ -437,19 +437,20 @@
 	slowdownDecayTime = 1200 * time.Millisecond
 )
 
-// apply carries out the core's effects.
+// apply carries out the core's effects. Orders in flight finish when ctx ends, which their
+// timeouts limit. A write does not: it is repeated until its outcome is known.
 func (c *controller) apply(ctx context.Context, effects []owner.Effect) {
-	ctx = context.WithoutCancel(ctx) // orders and writes in flight finish during a stop
+	orders := context.WithoutCancel(ctx)
 	for _, e := range effects {
 		switch e := e.(type) {
 		case owner.SendGrants:
 			t := &grantTask{controller: c, effect: e}
 			c.tasks.Add(1)
-			go t.run(ctx)
+			go t.run(orders)
 		case owner.SendRelease:
 			t := &releaseTask{controller: c, effect: e}
 			c.tasks.Add(1)
-			go t.run(ctx)
+			go t.run(orders)
 		case owner.WriteDoc:
 			t := &writeTask{controller: c, effect: e, leaderRevision: c.leaderRevision}
 			c.tasks.Add(1)
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -13,6 +13,7 @@
 	"citrontray.example/citrontray/internal/fake"
 	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/platform"
 )
 
 // TestServesBothKinds sends requests for both kinds of service through three hosts.
@@ -249,6 +250,29 @@
 	}
 }
 
+// TestStopWithUnknownWrite: a leader stops in time although the store is gone and does not say
+// whether its last write took effect.
+func TestStopWithUnknownWrite(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1, 3, 0)
+	d.eventually("all keys are served", 15*time.Second, func() bool { return d.send(d.hosts[0], "GET", "/keys/x", 30000).status == http.StatusOK })
+	h := d.leader()
+	d.store.SetFaults(fake.SessionFaults{LoseEveryNth: 1})
+	d.targets["span-1"].Close()
+	d.store.Remove(platform.PathTargets + "span-1")
+	d.eventually("a write without a response", 10*time.Second, func() bool { return strings.Contains(h.logs.String(), "Write outcome unknown") })
+	d.store.SetFaults(fake.SessionFaults{Down: true})
+	start, stopped := time.Now(), make(chan struct{})
+	go func() { h.shutdown(); close(stopped) }()
+	select {
+	case <-stopped:
+		assert.Assert(t, time.Since(start) <= h.bounds.Load().Grace, "stopped after %v", time.Since(start))
+	case <-time.After(2 * h.bounds.Load().Grace):
+		d.store.SetFaults(fake.SessionFaults{})
+		t.Fatal("the host does not stop")
+	}
+}
+
 // TestLoadSheddingTargets: while targets refuse most of the requests that they have
 // slots for, the Retry-After hint lets a caller retry within the latency objective.
 func TestLoadSheddingTargets(t *testing.T) {
