Ranges of a target that has ended are free in time also if it had left an order unanswered

Found when reading the change: such a range waited 30 s, as TargetEnded concerned only ranges of which the owner had got no order of this leader. Change: it counts from now on for a grant; the order died with the process. It is set once, not at each refused order.

--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -223,7 +223,7 @@
 	// past if they have ended.
 	priorMayRenewUntil time.Time
 	// priorInTransitUntil is until when orders of prior leaders may be in transit.
-	// priorExpiresBy is when the grants of prior leaders have expired that were not.
+	// priorExpiresBy is when the grants of prior leaders have expired that have arrived.
 	priorInTransitUntil, priorExpiresBy time.Time
 	// frozenUntil is until when leaders that were lost in a restore of the store may
 	// still send orders. Until then ranges are only renewed, and none is taken to be
@@ -342,17 +342,23 @@
 // in transit to it has an effect any more.
 func (c *Core) TargetEnded(now time.Time, name place.Target, addr netip.AddrPort) {
 	for _, r := range c.rows {
-		if r.Target == name && r.Addr == addr && c.awaitsTransit(now, r) {
-			r.expiresBy = c.priorExpiresBy
+		if r.Target != name || r.Addr != addr || !c.awaitsTransit(now, r) {
+			continue
+		}
+		end := c.priorExpiresBy
+		if r.unacked > 0 {
+			end = later(end, now.Add(c.cfg.maxGrantDuration()))
+		}
+		if r.expiresBy.After(end) {
+			r.expiresBy = end
 		}
 	}
 }
 
-// awaitsTransit reports whether a range only waits for orders of prior leaders that may be in
-// transit: it would be free sooner because of any other grant.
+// awaitsTransit reports whether a range waits for orders of prior leaders that may be in
+// transit: its owner has acknowledged no order of this leader.
 func (c *Core) awaitsTransit(now time.Time, r *row) bool {
-	return r.acked == 0 && r.unacked == 0 && now.Before(c.priorInTransitUntil) && r.expiresBy.After(c.priorExpiresBy) &&
-		r.state != free && r.state != writing
+	return r.acked == 0 && now.Before(c.priorInTransitUntil) && r.expiresBy.After(c.priorExpiresBy) && r.state != free && r.state != writing
 }
 
 // reset drops the state of a term.
--- a/internal/owner/core_test.go
+++ b/internal/owner/core_test.go
@@ -605,6 +605,7 @@
 		responds         // it acknowledges the first grant, and none after it
 		ended            // its process is found to have ended
 		elsewhere        // it is listed at another address, with a later incarnation
+		cut              // it leaves the first order unanswered, and its process has ended then
 	)
 	tests := map[string]struct {
 		prior Prior
@@ -622,6 +623,7 @@
 		"crashed, owner responds":         {prior: PriorInTransit, owner: responds, earliest: 4 * time.Second, latest: 6 * time.Second},
 		"crashed, owner has ended":        {prior: PriorInTransit, owner: ended, earliest: 4 * time.Second, latest: 6 * time.Second},
 		"crashed, owner restarted":        {prior: PriorInTransit, owner: elsewhere, earliest: 4 * time.Second, latest: 6 * time.Second},
+		"crashed, owner ended later":      {prior: PriorInTransit, owner: cut, earliest: 4 * time.Second, latest: 9 * time.Second},
 		"found to have crashed":           {prior: PriorUnknown, foundAfter: 5 * time.Second, earliest: 39 * time.Second, latest: 41 * time.Second, flagged: true},
 		"found to have crashed, responds": {prior: PriorUnknown, owner: responds, foundAfter: 2 * time.Second, earliest: 4 * time.Second, latest: 6 * time.Second},
 		"found to have crashed, ended":    {prior: PriorUnknown, owner: ended, foundAfter: 5 * time.Second, earliest: 9 * time.Second, latest: 11 * time.Second},
@@ -659,13 +661,17 @@
 					if g, ok := e.(SendGrants); ok {
 						results := make([]error, len(g.Grants))
 						for i := range results {
-							if acked || test.owner != responds {
+							switch {
+							case !acked && test.owner == cut:
+								results[i] = target.ErrUnanswered
+							case acked || test.owner != responds:
 								results[i] = target.ErrNotSent
 							}
 						}
+						first := !acked
 						acked = true
 						c.Granted(now, g, results)
-						if g.Probe && test.owner == ended {
+						if g.Probe && (test.owner == ended || test.owner == cut && !first) {
 							c.TargetEnded(now, g.Target, g.Addr)
 						}
 					}
