A connection that may not carry a request is closed where others that can't be reused are

Found when reading the change: takeIdle returned a second connection, only to be closed by its caller. Change: it returns such a connection when no other may be opened; take closes it like any that it does not reuse, and tries again. No change of behaviour. Measured: the tests of forward pass, TestRepeatedRefusal among them.

--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -98,17 +98,14 @@
 // take returns an idle connection that is reusable, or opens one.
 func (p *Pool) take(ctx context.Context, r *Request, now time.Time) (*conn, error) {
 	for {
-		c, unused, err := p.takeIdle(r.ID)
-		if unused != nil {
-			_ = unused.Close()
-		}
+		c, err := p.takeIdle(r.ID)
 		if err != nil {
 			return nil, err
 		}
 		if c == nil {
 			return p.connect(ctx, r.Deadline)
 		}
-		if (r.MaxIdle == 0 || c.idleFor(now) <= r.MaxIdle) && !c.expired(now) && c.reusable() {
+		if c.mayCarry(r.ID) && (r.MaxIdle == 0 || c.idleFor(now) <= r.MaxIdle) && !c.expired(now) && c.reusable() {
 			return c, nil
 		}
 		c.broken = true
@@ -117,27 +114,27 @@
 }
 
 // takeIdle returns the idle connection that was used last and may carry the request. If there
-// is none, it reserves a new connection and returns nil, and an idle connection to be closed
-// for it if there would be too many.
-func (p *Pool) takeIdle(id string) (c, unused *conn, err error) {
+// is none, it reserves a new connection and returns nil or, if too many are open, returns an
+// idle one that take closes.
+func (p *Pool) takeIdle(id string) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
-		return nil, nil, ErrClosed
+		return nil, ErrClosed
 	}
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		if p.idle[i].mayCarry(id) {
-			return p.removeIdle(i), nil, nil
+			return p.removeIdle(i), nil
 		}
 	}
-	if p.open < p.cfg.MaxOpen {
+	switch {
+	case p.open < p.cfg.MaxOpen:
 		p.open++
-		return nil, nil, nil
-	}
-	if len(p.idle) == 0 {
-		return nil, nil, ErrFull
+		return nil, nil
+	case len(p.idle) > 0:
+		return p.removeIdle(0), nil
 	}
-	return nil, p.removeIdle(0), nil
+	return nil, ErrFull
 }
 
 // removeIdle takes a connection out of the idle ones. The caller holds mu.
