A target listed at another address ends the wait of each of its ranges once

Found when reading the change: for each range of such a target SetTargets went through all ranges, at each step of a leader: quadratic in the ranges of a target that moved. Each range is handled by itself now, by what TargetEnded does for one. No change of behaviour. Measured: TestOrdersInTransit passes, its case of a restarted owner among them.

--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -342,19 +342,26 @@
 // in transit to it has an effect any more.
 func (c *Core) TargetEnded(now time.Time, name place.Target, addr netip.AddrPort) {
 	for _, r := range c.rows {
-		if r.Target != name || r.Addr != addr || !c.awaitsTransit(now, r) {
-			continue
-		}
-		end := c.priorExpiresBy
-		if r.unacked > 0 {
-			end = later(end, now.Add(c.cfg.maxGrantDuration()))
-		}
-		if r.expiresBy.After(end) {
-			r.expiresBy = end
+		if r.Target == name && r.Addr == addr {
+			c.endTransit(now, r)
 		}
 	}
 }
 
+// endTransit ends the wait for orders of prior leaders to the owner of a range.
+func (c *Core) endTransit(now time.Time, r *row) {
+	if !c.awaitsTransit(now, r) {
+		return
+	}
+	end := c.priorExpiresBy
+	if r.unacked > 0 {
+		end = later(end, now.Add(c.cfg.maxGrantDuration()))
+	}
+	if r.expiresBy.After(end) {
+		r.expiresBy = end
+	}
+}
+
 // awaitsTransit reports whether a range waits for orders of prior leaders that may be in
 // transit: its owner has acknowledged no order of this leader.
 func (c *Core) awaitsTransit(now time.Time, r *row) bool {
@@ -381,8 +388,8 @@
 	}
 }
 
-// Stop ends all sending until Resume or the next term. Idle reports when no grant and no write is in
-// flight any more.
+// Stop ends all sending until Resume or the next term. Idle reports when no grant and no write
+// is in flight any more.
 func (c *Core) Stop() { c.stopping = true }
 
 // Resume undoes Stop.
@@ -506,7 +513,7 @@
 			continue
 		}
 		if t := targets[r.Target]; t.Incarnation > r.Incarnation && t.Addr != r.Addr {
-			c.TargetEnded(now, r.Target, r.Addr)
+			c.endTransit(now, r)
 		}
 	}
 }
