Probes of paths and checks of ended targets open connections by one function

Found when reading the change: both looked up the service of a target and its pool to try a connection; Host.checkTarget serves both. Measured: TestHostsCutFromTargets, TestRelay*, TestCutPathEndsNoTarget and TestDeadlyRequestIsStopped pass.

--- a/internal/host/endcheck.go
+++ b/internal/host/endcheck.go
@@ -52,17 +52,9 @@
 
 // connect tries to connect to a target.
 func (e *endChecks) connect(ctx context.Context, row place.TargetRow) relay.Reach {
-	routes := e.host.views.view().routes
-	if routes == nil {
-		return relay.ReachUnknown
-	}
-	service := routes.Service(key.Service(row.Service))
-	if service == nil {
-		return relay.ReachUnknown
-	}
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
-	err := e.host.connPools.get(row.Addr, service).Check(ctx, time.Now())
+	err := e.host.checkTarget(ctx, time.Now(), row)
 	switch {
 	case err == nil, errors.Is(err, forward.ErrFull):
 		return relay.ReachOpen
--- a/internal/host/paths.go
+++ b/internal/host/paths.go
@@ -172,13 +172,7 @@
 func (p *probe) run(ctx context.Context) {
 	m := p.monitor
 	start := time.Now()
-	event := path.Silent // not made
-	v := m.host.views.view()
-	if v.routes != nil {
-		if service := v.routes.Service(key.Service(p.row.Service)); service != nil {
-			event = probeEvent(ctx, m.host.connPools.get(p.row.Addr, service).Check(ctx, start))
-		}
-	}
+	event := probeEvent(ctx, m.host.checkTarget(ctx, start, p.row))
 	m.mu.Lock()
 	changed := m.table.Probed(time.Now(), start, p.row, event)
 	m.mu.Unlock()
@@ -193,8 +187,8 @@
 	switch {
 	case err == nil:
 		return path.Responded
-	case ctx.Err() != nil, errors.Is(err, forward.ErrFull), errors.Is(err, forward.ErrClosed):
-		return path.Silent
+	case ctx.Err() != nil, errors.Is(err, errNoService), errors.Is(err, forward.ErrFull), errors.Is(err, forward.ErrClosed):
+		return path.Silent // not made
 	}
 	return path.Unreachable
 }
--- a/internal/host/pools.go
+++ b/internal/host/pools.go
@@ -1,11 +1,15 @@
 package host
 
 import (
+	"context"
+	"errors"
 	"net/netip"
 	"sync"
 	"time"
 
 	"citrontray.example/citrontray/internal/forward"
+	"citrontray.example/citrontray/internal/key"
+	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/traffic"
 )
 
@@ -65,6 +69,23 @@
 	return pool.Pool
 }
 
+// errNoService is returned for a target of a service that is not configured here.
+var errNoService = errors.New("host: service is not configured")
+
+// checkTarget opens a connection to a target, which the next request uses, to find out
+// whether the target accepts any.
+func (h *Host) checkTarget(ctx context.Context, now time.Time, row place.TargetRow) error {
+	v := h.views.view()
+	if v.routes == nil {
+		return errNoService
+	}
+	service := v.routes.Service(key.Service(row.Service))
+	if service == nil {
+		return errNoService
+	}
+	return h.connPools.get(row.Addr, service).Check(ctx, now)
+}
+
 // closeIdle closes the idle connections to an address.
 func (p *connPools) closeIdle(addr netip.AddrPort) {
 	p.mu.Lock()
