Hosts that are asked and hosts that requests are passed to come from one list

Found when reading the change: relayer.candidates and endChecks.witnesses each went through the hosts, left out this one and those that are silent or stopping, and shuffled the rest; reachableHosts does that for both. No change of behaviour but for the random order.

--- a/internal/host/endcheck.go
+++ b/internal/host/endcheck.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -96,20 +95,15 @@
 // witnesses returns the hosts that are asked about a target: one of each zone first, those of
 // other zones before this one's, as a network may fail for a whole zone.
 func (e *endChecks) witnesses() []member.Host {
-	self := e.host.site
-	all := e.host.views.view().members.Hosts
 	var first, rest []member.Host
-	zones := make(map[place.Zone]bool)
-	for _, i := range rand.Perm(len(all)) {
-		m := all[i]
-		switch {
-		case m.Name == self.Host || !e.host.dispatcher.reachable(m.Name):
-		case m.Zone == self.Zone || zones[m.Zone]:
+	asked := map[place.Zone]bool{e.host.site.Zone: true}
+	for _, m := range e.host.reachableHosts() {
+		if asked[m.Zone] {
 			rest = append(rest, m)
-		default:
-			zones[m.Zone] = true
-			first = append(first, m)
+			continue
 		}
+		asked[m.Zone] = true
+		first = append(first, m)
 	}
 	first = append(first, rest...)
 	return first[:min(len(first), maxWitnesses)]
--- a/internal/host/relayer.go
+++ b/internal/host/relayer.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -75,25 +76,29 @@
 // candidates returns the hosts that a request for a service is offered to: hosts of this
 // zone first, each time in another order.
 func (r *relayer) candidates(now time.Time, service key.Service) []member.Host {
-	self := r.host.site
 	var near, far []member.Host
-	for _, m := range r.host.views.view().members.Hosts {
-		if m.Name == self.Host || r.paused(now, m.Name, service) || !r.host.dispatcher.reachable(m.Name) {
-			continue
-		}
-		if m.Zone == self.Zone {
+	for _, m := range r.host.reachableHosts() {
+		switch {
+		case r.paused(now, m.Name, service):
+		case m.Zone == r.host.site.Zone:
 			near = append(near, m)
-			continue
+		default:
+			far = append(far, m)
 		}
-		far = append(far, m)
-	}
-	for _, list := range [][]member.Host{near, far} {
-		rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
 	}
 	near = append(near, far...)
 	return near[:min(len(near), maxRelayTries)]
 }
 
+// reachableHosts returns the other hosts that are neither silent nor stopping, each time in
+// another order.
+func (h *Host) reachableHosts() []member.Host {
+	out := slices.Clone(h.views.view().members.Hosts)
+	out = slices.DeleteFunc(out, func(m member.Host) bool { return m.Name == h.site.Host || !h.dispatcher.reachable(m.Name) })
+	rand.Shuffle(len(out), func(i, k int) { out[i], out[k] = out[k], out[i] })
+	return out
+}
+
 func (r *relayer) paused(now time.Time, host place.Host, service key.Service) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
