--- a/internal/host/notice.go
+++ b/internal/host/notice.go
@@ -173,11 +173,12 @@
 	candidateCount = 3
 )
 
-// announceStopped notifies the candidates that this host has handed over.
-func (c *controller) announceStopped() {
-	for i, name := range c.host.views.view().candidates(c.service) {
-		if i < candidateCount && name != c.host.site.Host {
-			c.sendNotice(name, noticeStopped)
+// notifyCandidates sends a notice to the candidates.
+func (c *controller) notifyCandidates(v *view, kind noticeKind) {
+	ranked := v.candidates(c.service)
+	for _, name := range ranked[:min(len(ranked), candidateCount)] {
+		if name != c.host.site.Host {
+			c.sendNotice(name, kind)
 		}
 	}
 }
@@ -188,14 +189,7 @@
 		return
 	}
 	c.announcedAt = now
-	for i, name := range v.candidates(c.service) {
-		if i >= candidateCount {
-			break
-		}
-		if name != c.host.site.Host {
-			c.sendNotice(name, noticeLeading)
-		}
-	}
+	c.notifyCandidates(v, noticeLeading)
 	if c.predecessor.ended {
 		return
 	}
--- a/internal/host/resign.go
+++ b/internal/host/resign.go
@@ -75,7 +75,7 @@
 		switch {
 		case err == nil:
 			t.log.Info("Leadership handed over.", slog.Uint64("term", uint64(t.core.Term())))
-			t.announceStopped()
+			t.notifyCandidates(t.host.views.view(), noticeStopped)
 			t.core.StepDown()
 		case errors.Is(err, platform.ErrUnavailable):
 			// Certainly not committed: this host keeps leading until the outage ends.
