The path of a request line is not parsed twice

Found when reading the change: every request's URI went through url.Parse once more, for absolute ones alone, which begin with a scheme. No change of behaviour: a URI that begins with a slash is never absolute.

--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -142,8 +142,10 @@
 
 // pathOfURI returns the path in a request line, still escaped.
 func pathOfURI(uri string) string {
-	if u, err := url.Parse(uri); err == nil && u.IsAbs() {
-		return u.EscapedPath()
+	if !strings.HasPrefix(uri, "/") {
+		if u, err := url.Parse(uri); err == nil && u.IsAbs() {
+			return u.EscapedPath()
+		}
 	}
 	p, _, _ := strings.Cut(uri, "?")
 	return p
