A failed connection is recorded by one call

Found when reading the change: pool.connectFailed recorded it in two branches with the same arguments. No change of behaviour. Measured: TestConnectFailuresOfOneHost, TestPathBackoff, TestBackoffOfBurst, TestRandomPaths pass.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -310,14 +310,12 @@
 // connectFailed records that a host could not connect to the target of its ticket. An
 // isolated host has no other host's evidence.
 func (p *pool) connectFailed(now time.Time, t *ticket) {
-	s := t.target
+	s, isolated := t.target, p.isolated(now)
 	hosts := s.paths.connectFailed(now, t.assignedAt, t.key.host)
-	if p.isolated(now) {
+	if isolated || hosts >= minDownHosts {
 		s.connectFailed(now, t.assignedAt, hosts)
-		p.breakers.connectFailed(now, s.Zone, s.Target)
-		return
 	}
-	if hosts >= minDownHosts {
-		s.connectFailed(now, t.assignedAt, hosts)
+	if isolated {
+		p.breakers.connectFailed(now, s.Zone, s.Target)
 	}
 }
