Grants and releases report a target that has ended by one function, after their own result

Found when reading the change: both tasks repeated the check, and the core got the result of the order only after it, up to a quarter of a second later. probeTarget serves both and posts what it finds by itself.

--- a/internal/host/tasks.go
+++ b/internal/host/tasks.go
@@ -34,17 +34,16 @@
 	for _, err := range results {
 		t.host.metrics.countOrder(t.service, "grant", orderResult(err))
 	}
-	ended := t.effect.Probe && t.hasEnded(ctx, t.effect.Target, t.effect.Addr, results[0])
 	t.post(func(now time.Time) bool {
 		t.core.Granted(now, t.effect, results)
-		if ended {
-			t.core.TargetEnded(now, t.effect.Target, t.effect.Addr)
-		}
 		if signal.Leaving {
 			t.markLeaving(t.effect.Target)
 		}
 		return t.core.Changed() // a renewal without a change needs no step
 	})
+	if t.effect.Probe {
+		t.probeTarget(ctx, t.effect.Target, t.effect.Addr, results[0])
+	}
 }
 
 // recordLimit records a rate limit in the response to a grant. Without one the
@@ -73,26 +72,25 @@
 		t.log.Info("Release failed.", slog.String("target", string(t.effect.Target)),
 			slog.String("range", t.effect.Release.Range.String()), slog.Any("error", err))
 	}
-	ended := t.effect.Probe && t.hasEnded(ctx, t.effect.Target, t.effect.Addr, err)
-	t.post(func(now time.Time) bool {
-		t.core.Released(now, t.effect, handover, err)
-		if ended {
-			t.core.TargetEnded(now, t.effect.Target, t.effect.Addr)
-		}
-		return true
-	})
+	t.post(func(now time.Time) bool { t.core.Released(now, t.effect, handover, err); return true })
+	if t.effect.Probe {
+		t.probeTarget(ctx, t.effect.Target, t.effect.Addr, err)
+	}
 }
 
-// hasEnded reports whether the process of a target has ended, after an order to it has failed.
-func (c *controller) hasEnded(ctx context.Context, name place.Target, addr netip.AddrPort, err error) bool {
+// probeTarget finds out whether the process of a target has ended, after an order to it has
+// failed, and passes that to the core.
+func (c *controller) probeTarget(ctx context.Context, name place.Target, addr netip.AddrPort, err error) {
 	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return false
+		return
 	}
 	row := c.host.views.view().targets[name]
 	if row.Addr != addr {
 		row = place.TargetRow{Target: name, Service: string(c.service), Addr: addr}
 	}
-	return c.host.endChecks.hasEnded(ctx, row)
+	if c.host.endChecks.hasEnded(ctx, row) {
+		c.post(func(now time.Time) bool { c.core.TargetEnded(now, name, addr); return true })
+	}
 }
 
 // orderResult returns the metric label for the result of an order.
