What a result shows about a path is decided once, in dispatch

Found when reading the change: host and the random runs of paths mapped results to path events, each by a switch of its own; a change of one would have left the runs green. Result.PathEvent serves both. No change of behaviour. Measured: the path tests of dispatch pass; with a mechanism out (-path.break 1 and 2) TestRandomPaths fails as before.

--- a/internal/dispatch/path_random_test.go
+++ b/internal/dispatch/path_random_test.go
@@ -118,15 +118,9 @@
 
 // record records the result of an attempt, and returns the result for the home.
 func (m *pathModel) record(now, sentAt time.Time, h *clusterHost, row place.TargetRow, result Result) Result {
-	event := path.Responded
-	switch result {
-	case ResultUnreachable:
-		event = path.Unreachable
-	case ResultTimeout, ResultCut:
-		event = path.Silent
-	case ResultUnused:
+	event, ok := result.PathEvent()
+	if !ok {
 		return result
-	case ResultServed, ResultFailed, ResultBusy, ResultMisdirected:
 	}
 	table := m.tables[h.name]
 	table.Record(now, sentAt, row, event)
--- a/internal/dispatch/targetpath.go
+++ b/internal/dispatch/targetpath.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"citrontray.example/citrontray/internal/path"
 	"citrontray.example/citrontray/internal/place"
 )
 
@@ -19,6 +20,21 @@
 	minDownHosts = 2
 )
 
+// PathEvent returns what the result of an attempt shows about the path to the target, and
+// false if nothing.
+func (r Result) PathEvent() (path.Event, bool) {
+	switch r {
+	case ResultServed, ResultFailed, ResultBusy, ResultMisdirected:
+		return path.Responded, true
+	case ResultUnreachable:
+		return path.Unreachable, true
+	case ResultTimeout, ResultCut:
+		return path.Silent, true
+	case ResultUnused:
+	}
+	return 0, false
+}
+
 // targetPaths is what a home knows of the paths from hosts to one target.
 type targetPaths struct {
 	// failed maps the hosts that could not connect to the time of their last failure.
--- a/internal/host/paths.go
+++ b/internal/host/paths.go
@@ -39,23 +39,9 @@
 	return &pathMonitor{host: h, wake: make(chan struct{}, 1), table: path.New()}
 }
 
-// eventOf returns what the result of an attempt shows about the path, and false if nothing.
-func eventOf(end dispatch.Result) (path.Event, bool) {
-	switch end {
-	case dispatch.ResultServed, dispatch.ResultFailed, dispatch.ResultBusy, dispatch.ResultMisdirected:
-		return path.Responded, true
-	case dispatch.ResultUnreachable:
-		return path.Unreachable, true
-	case dispatch.ResultTimeout, dispatch.ResultCut:
-		return path.Silent, true
-	case dispatch.ResultUnused:
-	}
-	return 0, false
-}
-
 // record records the result of an attempt that started at sentAt.
 func (m *pathMonitor) record(now, sentAt time.Time, row place.TargetRow, end dispatch.Result) {
-	event, ok := eventOf(end)
+	event, ok := end.PathEvent()
 	if !ok || row.Target == "" {
 		return
 	}
@@ -73,7 +59,7 @@
 // evidence returns the result of an attempt that the home of the target gets. A host that
 // reaches no target of the service knows nothing of this one.
 func (m *pathMonitor) evidence(row place.TargetRow, end dispatch.Result) dispatch.Result {
-	if event, ok := eventOf(end); !ok || event == path.Responded || !m.serviceLost(m.host.views.view(), key.Service(row.Service)) {
+	if event, ok := end.PathEvent(); !ok || event == path.Responded || !m.serviceLost(m.host.views.view(), key.Service(row.Service)) {
 		return end
 	}
 	return dispatch.ResultUnused
