--- a/internal/forward/repeated_test.go
+++ b/internal/forward/repeated_test.go
@@ -96,3 +96,16 @@
 		}
 	}
 }
+
+// TestRefusedWithoutSpareConnection: a refused request that comes again gets a connection of its
+// own also if no more may be open: the one on which it was refused is closed.
+func TestRefusedWithoutSpareConnection(t *testing.T) {
+	var conns atomic.Int32
+	p := listenTo(t, respondWith("HTTP/1.1 503 Full\r\nCitrontray-Request: ID\r\nCitrontray-Not-Run: busy\r\nContent-Length: 0\r\n\r\n", &conns))
+	for i := range 10 {
+		_, ok := p.Do(context.Background(), unshardedRequest("r-1"), time.Now()).(forward.Refused)
+		assert.Assert(t, ok, "attempt %d", i)
+	}
+	assert.Equal(t, int(conns.Load()), 10)
+	assert.Equal(t, p.Open(), 4) // as many as may be
+}
