An entry in the store doesn't end the owner at its address

Two targets held the same keys for up to 2.5 s; requests for a key could run at both. Cause: Core.SetTargets took a later entry at the owner's address as proof that the owner had ended. Nothing shows who wrote an entry, or that a process is behind it. Ruled out: misdirected responses to orders. Change: such an entry makes the next grant to the owner go out at once. Only the response proves anything: a process that is another target refuses the order, which names its target. A misdirected response ends the ownership of ranges at that address only, and the target gets no ranges for the usual pause after a failed order, as no entry is proof of a process. Why it works: a target that runs acknowledges the grant and keeps its ranges; one whose address was reused loses them by the response, a round trip later than before.

--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -183,6 +183,12 @@
 	retryAt  time.Time
 }
 
+// listing is an incarnation of a target that is listed at an address.
+type listing struct {
+	target      place.Target
+	incarnation place.Incarnation
+}
+
 // Core is the leader of one service, or a candidate for it. It is not safe for
 // concurrent use.
 type Core struct {
@@ -199,6 +205,8 @@
 	rows        []*row
 	targetConns map[place.Target]*targetConn
 	targetRows  map[place.Target]place.TargetRow
+	// listedAt is the latest incarnation that is listed at each address, of any service.
+	listedAt map[netip.AddrPort]listing
 	// reclaimedAt is when a range last stayed with or returned to its owner because the
 	// store refused a write or did not respond.
 	reclaimedAt time.Time
@@ -483,12 +491,12 @@
 // SetTargets sets the current list of the targets of all services. Targets that are
 // leaving or not in the list lose their ranges.
 func (c *Core) SetTargets(now time.Time, targets map[place.Target]place.TargetRow) {
-	old := c.targetRows
+	old, listedAt := c.targetRows, c.listedAt
 	c.targetRows = make(map[place.Target]place.TargetRow, len(targets))
-	newest := make(map[netip.AddrPort]place.TargetRow, len(targets))
+	c.listedAt = make(map[netip.AddrPort]listing, len(targets))
 	for name, t := range targets {
-		if newest[t.Addr].Incarnation < t.Incarnation {
-			newest[t.Addr] = t
+		if c.listedAt[t.Addr].incarnation < t.Incarnation {
+			c.listedAt[t.Addr] = listing{name, t.Incarnation}
 		}
 		if t.Service != string(c.cfg.Service) {
 			continue
@@ -505,14 +513,12 @@
 		if r.Target == "" || r.state == free || r.state == writing || r.Incarnation == 0 {
 			continue
 		}
-		// Another target at the address proves that this one has ended. A later
-		// incarnation of the same target does not: it may have accepted a renewal
-		// already.
-		if t := newest[r.Addr]; t.Target != r.Target && t.Incarnation > r.Incarnation {
-			c.markFree(now, r, "Another target has the address.")
-			continue
+		// An entry proves nothing about the process at its address, as anybody may have
+		// written it. The response to an order does: see targetEnded.
+		if l := c.listedAt[r.Addr]; l.target != r.Target && l.incarnation > r.Incarnation && l != listedAt[r.Addr] {
+			c.targetConn(r.Target).allSentAt = time.Time{}
 		}
-		if t := targets[r.Target]; t.Incarnation > r.Incarnation && t.Addr != r.Addr {
+		if t := c.targetRows[r.Target]; t.Incarnation > r.Incarnation && t.Addr != r.Addr {
 			c.endTransit(now, r)
 		}
 	}
--- a/internal/owner/core_test.go
+++ b/internal/owner/core_test.go
@@ -684,3 +684,51 @@
 		})
 	}
 }
+
+// TestEntryAtOwnersAddress guards against entries of another writer that take ranges from a
+// target which holds them: only a response from the address ends its ownership.
+func TestEntryAtOwnersAddress(t *testing.T) {
+	owner := place.TargetRow{Target: "t", Service: "s", Slots: 3, Incarnation: 1, Addr: netip.MustParseAddrPort("10.0.0.1:80")}
+	entry := owner
+	entry.Target, entry.Service, entry.Incarnation = "x", "other", 2
+	for name, test := range map[string]struct {
+		response error
+		free     bool
+	}{
+		"owner responds":            {nil, false},
+		"no response":               {target.ErrUnanswered, false},
+		"another target responds":   {target.ErrMisdirected, true},
+		"address takes no orders":   {target.ErrRejected, false},
+		"address can't be reached":  {target.ErrNotSent, false},
+		"owner has seen a new term": {target.ErrFenced, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, now := New(testConfig()), time.Unix(1000, 0)
+			doc := EmptyDoc("s")
+			doc.Term, doc.Rows[0].Target, doc.Rows[0].Addr, doc.Rows[0].Incarnation = 2, owner.Target, owner.Addr, owner.Incarnation
+			c.BeginTerm(now, doc, 5, now.Add(c.cfg.LeaseTTL), PriorEnded)
+			grant := func(response error) (sent bool) {
+				for _, e := range c.Tick(now) {
+					if g, ok := e.(SendGrants); ok {
+						c.Granted(now, g, []error{response})
+						sent = true
+					}
+				}
+				return sent
+			}
+			targets := map[place.Target]place.TargetRow{"t": owner}
+			c.SetTargets(now, targets)
+			assert.Assert(t, grant(nil))
+			now = now.Add(100 * time.Millisecond)
+			assert.Assert(t, !grant(nil), "the next grant is not due yet")
+			targets["x"] = entry
+			c.SetTargets(now, targets)
+			assert.Equal(t, c.rows[0].state, held)
+			assert.Assert(t, grant(test.response), "a grant asks the address at once")
+			assert.Equal(t, c.rows[0].state == free, test.free)
+			now = now.Add(100 * time.Millisecond)
+			c.SetTargets(now, targets)
+			assert.Assert(t, test.response != nil || !grant(nil), "an entry that stays causes no further grants")
+		})
+	}
+}
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"maps"
+	"net/netip"
 	"slices"
 	"sort"
 	"time"
@@ -267,7 +268,9 @@
 	}
 	switch {
 	case ended:
-		c.targetEnded(now, e.Target)
+		tc.uncertain = false
+		c.targetEnded(now, e.Target, e.Addr)
+		c.noteFailure(now, tc)
 	case failed:
 		tc.uncertain = unknown
 		c.noteFailure(now, tc)
@@ -353,15 +356,14 @@
 	})
 }
 
-// targetEnded records that another target has the address: the incarnation that held
-// the ranges has ended.
-func (c *Core) targetEnded(now time.Time, name place.Target) {
+// targetEnded records that another target responded at the address: the incarnation that
+// held ranges there has ended.
+func (c *Core) targetEnded(now time.Time, name place.Target, addr netip.AddrPort) {
 	for _, r := range c.rows {
-		if r.Target == name && r.state != free && r.state != writing {
+		if r.Target == name && r.Addr == addr && r.state != free && r.state != writing {
 			c.markFree(now, r, "Another target has the address.")
 		}
 	}
-	delete(c.targetConns, name)
 }
 
 // Released takes the result of a SendRelease.
--- a/internal/owner/random_test.go
+++ b/internal/owner/random_test.go
@@ -59,6 +59,23 @@
 // of the kept seeds has this form.
 func (w *sim) hasHeldOrders() bool { return w.seed%8 == 5 }
 
+// hasForeignEntries reports whether another writer leaves entries among those of the targets
+// in a run. None of the kept seeds has this form.
+func (w *sim) hasForeignEntries() bool { return w.seed%16 == 12 }
+
+// foreignEntry lists a target that does not exist at the address of one that does, with a
+// later incarnation, for a time.
+func (w *sim) foreignEntry(at *simTarget, duration time.Duration) {
+	row := at.row
+	row.Target, row.Incarnation = "x"+row.Target, place.Incarnation(w.now.UnixMilli())
+	if w.chance(0.7) {
+		row.Service = "other"
+	}
+	w.tracef("another writer lists %s of service %s at the address of %s %v", row.Target, row.Service, at.row.Target, duration)
+	w.store.listed[row.Target] = row
+	w.after(duration, func() { delete(w.store.listed, row.Target) })
+}
+
 // limitedTargets returns the targets that have a rate limit now: a third of them,
 // others every two seconds. It draws no random number.
 func (w *sim) limitedTargets() map[place.Target]bool {
@@ -88,6 +105,10 @@
 		w.after(duration, func() { h.cutOff = false })
 		return
 	}
+	if w.hasForeignEntries() && w.chance(0.3) {
+		w.foreignEntry(t, duration)
+		return
+	}
 	if w.hasHeldOrders() && w.chance(0.2) {
 		w.killInPartition()
 		return
--- a/internal/owner/simhost_test.go
+++ b/internal/owner/simhost_test.go
@@ -478,6 +478,9 @@
 			if t.row.Incarnation != h.conns[e.Target].incarnation {
 				return target.ErrNotSent // the connection ended with the incarnation
 			}
+			if t.row.Target != e.Target {
+				return target.ErrMisdirected
+			}
 			return t.grant(e.Grants[i], arrived)
 		}, func(err error) {
 			if conn := h.conns[e.Target]; err == nil && conn.number == e.Conn {
@@ -502,6 +505,9 @@
 func (h *simHost) sendRelease(e SendRelease) {
 	h.inFlight++
 	h.order(e.Addr, false, func(t *simTarget, _ time.Time) error {
+		if t.row.Target != e.Target {
+			return target.ErrMisdirected
+		}
 		t.release(e.Release)
 		return nil
 	}, func(err error) {
