Requests for keys don't reach a leaving owner after its drain time, whatever the table says

Cause: for keys, hosts went by the leader's last table alone. What they had read of the target themselves counted only for keyless services; a signal in a response counted, an entry did not. Class: a decision by older knowledge where the host itself has newer. Ruled out: hosts that read the entry late (0.2 to 0.8 s after the acknowledgement); requests that waited past the end in a queue, as the cause (they were taken after it). Checked when a request is routed, when it gets a slot, and when its connection is open (forward.Request.NotAfter); the wait for a slot ends there. Such a request is refused at once with the time until a successor probably has the range. It isn't passed to another host, which may have read less. Why it works: the bound holds for any reason for which the table is old, and counts from what the platform accepted.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -225,6 +225,18 @@
 	return out
 }
 
+// Leaving returns the listed targets that are leaving, each with the time at which that was
+// first seen.
+func (t *Tracker) Leaving() map[place.Target]time.Time {
+	out := make(map[place.Target]time.Time)
+	for name, row := range t.targets {
+		if row.State == place.Leaving {
+			out[name] = row.leavingSince
+		}
+	}
+	return out
+}
+
 // NextChange returns when Rows next changes without an update, or the zero time.
 func (t *Tracker) NextChange() time.Time {
 	var next time.Time
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -16,6 +16,9 @@
 // ErrFull is the error of NotSent if Config.MaxOpen connections are in use.
 var ErrFull = errors.New("forward: all connections are in use")
 
+// ErrTooLate is the error of NotSent if Request.NotAfter has passed.
+var ErrTooLate = errors.New("forward: no longer to be sent")
+
 // Dial opens a connection to a target.
 type Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 
@@ -69,6 +72,10 @@
 	if err != nil {
 		return NotSent{Err: err}
 	}
+	if !r.NotAfter.IsZero() && time.Now().After(r.NotAfter) {
+		p.put(c)
+		return NotSent{Err: ErrTooLate}
+	}
 	if err := c.SetDeadline(r.Deadline); err != nil {
 		c.broken = true
 		p.put(c)
--- a/internal/forward/result.go
+++ b/internal/forward/result.go
@@ -37,6 +37,9 @@
 	// MaxIdle is how long a connection may have been idle to be reused; zero stands
 	// for no limit.
 	MaxIdle time.Duration
+	// NotAfter is the time from which the request is no longer sent, also if connecting
+	// took until then; zero stands for no limit.
+	NotAfter time.Time
 	// HeaderNames is set for targets without shards. Service, Shard and Epoch are not
 	// sent to them.
 	HeaderNames *target.HeaderNames
--- a/internal/forward/unsharded_test.go
+++ b/internal/forward/unsharded_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -87,6 +88,39 @@
 	assert.Equal(t, conns.Load(), int32(1))
 }
 
+// TestNotAfter guards against a request that is sent after its time because connecting took
+// long. The connection is kept for others.
+func TestNotAfter(t *testing.T) {
+	const connectTime = 50 * time.Millisecond
+	for name, test := range map[string]struct {
+		allowed time.Duration
+		sent    bool
+	}{
+		"no limit":          {0, true},
+		"after connecting":  {time.Minute, true},
+		"before connecting": {connectTime / 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var arrived atomic.Int32
+			pool := forward.New(forward.Config{MaxOpen: 1, Dial: func(context.Context, netip.AddrPort) (net.Conn, error) {
+				time.Sleep(connectTime)
+				client, server := net.Pipe()
+				go respondWith("HTTP/1.1 200 OK\r\nCitrontray-Stamp: 1\r\n"+target.HeaderRequest+": ID\r\nContent-Length: 0\r\n\r\n", &arrived)(server)
+				return client, nil
+			}})
+			defer pool.Close()
+			now, r := time.Now(), unshardedRequest("r-1")
+			if test.allowed > 0 {
+				r.NotAfter = now.Add(test.allowed)
+			}
+			unsent, ok := pool.Do(t.Context(), r, now).(forward.NotSent)
+			assert.Equal(t, !ok, test.sent)
+			assert.Assert(t, !ok || errors.Is(unsent.Err, forward.ErrTooLate))
+			assert.Equal(t, pool.Open(), 1)
+		})
+	}
+}
+
 // TestIdleConnection checks that a request gets a new connection if the idle one exceeds
 // its MaxIdle, and that Uncertain.Idle is how long a broken connection was idle.
 func TestIdleConnection(t *testing.T) {
--- a/internal/host/backoff.go
+++ b/internal/host/backoff.go
@@ -13,19 +13,61 @@
 	"citrontray.example/citrontray/internal/traffic"
 )
 
-// drainSafetyMargin is how long before the end of its drain time a leaving target gets
-// no more requests. It covers the wait for a slot and the transit.
-const drainSafetyMargin = 300 * time.Millisecond
+const (
+	// drainSafetyMargin is how long before the end of its drain time a leaving target gets
+	// no more requests. It covers the transit.
+	drainSafetyMargin = 300 * time.Millisecond
+	// listLag is the longest time from a change in the store until hosts have read it: the
+	// time between two reads of the watchers, and the way to the hosts.
+	listLag = pollInterval + pollJitter + 200*time.Millisecond
+	// successionTime is the time from the last table of a leader that was lost until its
+	// successor has moved the ranges of a leaving target.
+	successionTime = leaseTTL + candidateDelay + 300*time.Millisecond
+)
+
+// sendUntil returns until when requests for its keys may be sent to a target, zero if this
+// host does not know that it is leaving. It owns its keys until they have moved, but the
+// leader that moves them may be lost, so this holds whatever the routing table says. The
+// drain time counts from when the platform knew of it, which is up to listLag before this
+// host did, or from the target's signal.
+func (j *job) sendUntil(now time.Time, v *view, owner place.Target) time.Time {
+	if at, ok := v.departed[owner]; ok {
+		return at
+	}
+	drain := j.host.bounds.Load().Drain
+	var until time.Time
+	if at, ok := v.leaving[owner]; ok {
+		until = at.Add(drain - listLag - drainSafetyMargin)
+	}
+	if signaled, _ := j.host.dispatcher.backoff(now, v.targets[owner]); !signaled.IsZero() {
+		if at := signaled.Add(drain - drainSafetyMargin); until.IsZero() || at.Before(until) {
+			until = at
+		}
+	}
+	return until
+}
+
+// ownerLeaving refuses a request for a key whose owner is leaving and gets no more requests.
+func (j *job) ownerLeaving(owner place.Target) step {
+	j.host.metrics.countLeavingRefusal(j.service.Name)
+	j.host.log.Info("Owner of the key is leaving, request not sent.", slog.String("request", j.request.ID),
+		slog.String("service", string(j.service.Name)), slog.String("target", string(owner)), millisAttr("table", j.tableAge))
+	wait := defaultRetryAfter
+	if j.tableAge > maxPublishInterval {
+		wait = max(wait, successionTime-j.tableAge)
+	}
+	return finishStep{outcome.NotRunFailure{Reason: outcome.NoOwner, RetryAfter: wait}}
+}
 
 // checkBackoff returns the step to take instead of sending a request to its owner, nil
 // if it may be sent. The request waits for a short pause to end; for a longer one it is
-// refused with the pause as Retry-After. A leaving target owns its keys until they have
-// moved, so it gets requests until drainSafetyMargin before the end of its drain time.
-func (j *job) checkBackoff(now time.Time, owner place.TargetRow) step {
-	leaving, pause := j.host.dispatcher.backoff(now, owner)
+// refused with the pause as Retry-After.
+func (j *job) checkBackoff(now time.Time, v *view, owner place.Target) step {
+	if until := j.sendUntil(now, v, owner); !until.IsZero() && !now.Before(until) {
+		return j.ownerLeaving(owner)
+	}
+	_, pause := j.host.dispatcher.backoff(now, v.targets[owner])
 	switch {
-	case !leaving.IsZero() && now.Sub(leaving) >= j.host.bounds.Load().Drain-drainSafetyMargin:
-		return finishStep{outcome.NotRunFailure{Reason: outcome.NoOwner, RetryAfter: defaultRetryAfter}}
 	case pause > 0 && now.Add(pause).Sub(j.arrived) > time.Duration(maxParkShare*float64(j.deadline.Sub(j.arrived))):
 		return finishStep{outcome.NotRunFailure{Reason: outcome.Refused, RetryAfter: pause}}
 	case pause > 0:
@@ -45,10 +87,10 @@
 // leaving or paused, nil if the slot may be used.
 func (j *job) checkSlot(m dispatch.Assigned, owner place.Target) step {
 	now, v := time.Now(), j.host.views.view()
-	row := v.targets[m.Target]
 	if owner != "" {
-		return j.checkBackoff(now, row)
+		return j.checkBackoff(now, v, m.Target)
 	}
+	row := v.targets[m.Target]
 	leaving, pause := j.host.dispatcher.backoff(now, row)
 	lost := j.host.paths.lost(v, m.Target)
 	switch {
--- a/internal/host/fixture_test.go
+++ b/internal/host/fixture_test.go
@@ -203,6 +203,11 @@
 	d.putTarget(r, service, state, 1)
 }
 
+// unlistTarget removes the entry of a target.
+func (d *deployment) unlistTarget(r *fake.RangeTarget) {
+	d.store.Remove(platform.PathTargets + platform.Path(r.Name))
+}
+
 func (d *deployment) putTarget(r *fake.RangeTarget, service string, state place.Liveness, incarnation place.Incarnation) {
 	body, err := json.Marshal(place.TargetRow{
 		Target: r.Name, Service: service, Zone: "z", State: state, Addr: r.Addr, Incarnation: incarnation, Slots: r.Slots,
--- a/internal/host/job.go
+++ b/internal/host/job.go
@@ -202,7 +202,7 @@
 	if span != nil && span.Target != "" {
 		j.parkedAt = time.Time{}
 		j.cold = span.ColdFor > j.tableAge
-		if s := j.checkBackoff(now, v.targets[span.Target]); s != nil {
+		if s := j.checkBackoff(now, v, span.Target); s != nil {
 			return dispatch.PoolID{}, "", s
 		}
 		return dispatch.PoolID{Service: j.service.Name, Target: span.Target}, span.Target, nil
@@ -247,7 +247,7 @@
 		Timeout: j.deadline.Sub(now), SoftTimeout: j.softDeadline.Sub(now), Excluded: tried, Cold: j.cold,
 		Fingerprint: j.fingerprint, Watch: d.Watch(now, j.fingerprint),
 	})
-	timer := time.NewTimer(j.deadline.Sub(now))
+	timer := time.NewTimer(j.waitEnd(now, v, owner).Sub(now))
 	defer timer.Stop()
 	for {
 		select {
@@ -258,14 +258,23 @@
 				return ticket{}, finishStep{outcome.NotRunFailure{Reason: outcome.CallerGone}}
 			}
 			return j.returnTicket(id, (<-reply).Message), finishStep{outcome.NotRunFailure{Reason: outcome.CallerGone}}
-		case <-timer.C:
-			if d.cancel(time.Now(), id) {
-				return ticket{}, finishStep{j.deadlineExceeded()}
+		case now := <-timer.C:
+			end := step(finishStep{j.deadlineExceeded()})
+			if now.Before(j.deadline) {
+				end = j.ownerLeaving(owner)
+			}
+			if d.cancel(now, id) {
+				return ticket{}, end
 			}
-			return j.returnTicket(id, (<-reply).Message), finishStep{j.deadlineExceeded()}
+			return j.returnTicket(id, (<-reply).Message), end
 		case <-v.replaced:
 			v = j.host.views.view()
-			if owner == "" || j.ownedBy(v, owner) {
+			if owner == "" {
+				continue
+			}
+			if j.ownedBy(v, owner) {
+				now := time.Now()
+				timer.Reset(j.waitEnd(now, v, owner).Sub(now))
 				continue
 			}
 			if d.cancel(time.Now(), id) {
@@ -276,6 +285,18 @@
 	}
 }
 
+// waitEnd returns until when a request may wait for a slot. owner is empty for a keyless
+// service.
+func (j *job) waitEnd(now time.Time, v *view, owner place.Target) time.Time {
+	if owner == "" {
+		return j.deadline
+	}
+	if until := j.sendUntil(now, v, owner); !until.IsZero() && until.Before(j.deadline) {
+		return until
+	}
+	return j.deadline
+}
+
 // ticket is permission to use one slot of a target.
 type ticket struct {
 	id     dispatch.TicketID
@@ -355,7 +376,11 @@
 		j.request.MaxIdle = isolatedMaxIdle
 	}
 	known := h.quarantine.table.Suspicion(j.fingerprint)
-	row := h.views.view().targets[t.target]
+	v := h.views.view()
+	row := v.targets[t.target]
+	if j.request.NotAfter = (time.Time{}); j.service.KeySpace == traffic.Ranged {
+		j.request.NotAfter = j.sendUntil(start, v, t.target)
+	}
 	stalled := time.AfterFunc(stallTimeout, func() { h.paths.stalled(time.Now(), start, row) })
 	result := h.connPools.get(t.Addr, j.service).Do(ctx, &j.request, start)
 	stalled.Stop()
@@ -555,7 +580,7 @@
 		}
 		return dispatch.ResultBusy
 	case forward.NotSent:
-		if errors.Is(r.Err, forward.ErrFull) || errors.Is(r.Err, context.Canceled) {
+		if errors.Is(r.Err, forward.ErrFull) || errors.Is(r.Err, forward.ErrTooLate) || errors.Is(r.Err, context.Canceled) {
 			return dispatch.ResultUnused
 		}
 		return dispatch.ResultUnreachable
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -160,6 +160,16 @@
 	}).Inc(1)
 }
 
+// countLeavingRefusal counts a request that was refused because the owner of its key is
+// leaving and has no successor yet.
+func (m *metrics) countLeavingRefusal(service key.Service) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	getOrCreate(m.counters, metricID{"leaving_refusals", string(service), "", ""}, func() tally.Counter {
+		return m.scope(service, map[string]string{}).Counter("leaving_refusals")
+	}).Inc(1)
+}
+
 // countResent counts a request for a ticket that was sent again.
 func (m *metrics) countResent(service key.Service) {
 	m.mu.Lock()
--- a/internal/host/relayer.go
+++ b/internal/host/relayer.go
@@ -183,6 +183,8 @@
 	switch {
 	case j.relayed:
 		return finishStep{outcome.NotRunFailure{Reason: reasonNoPath}}
+	case target != "" && !j.sendUntil(now, j.host.views.view(), target).IsZero():
+		return j.ownerLeaving(target) // the other host may not have read yet that it is leaving
 	case target != "" && r.targetPaused(now, target):
 		return unreachable
 	}
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -30,6 +30,9 @@
 	listVersion, fleetVersion uint64
 	targets                   map[place.Target]place.TargetRow
 	services                  map[key.Service][]place.TargetRow
+	// leaving maps the listed targets that are leaving to the time at which this host read
+	// that.
+	leaving map[place.Target]time.Time
 	// departed maps recently removed targets to the time of their removal.
 	departed map[place.Target]time.Time
 	members  member.List
@@ -343,7 +346,7 @@
 	}
 	v.logTargets(next.targets, targets, doc.Version.Major)
 	next.fleetVersion++
-	next.departed = departures(now, next, targets)
+	next.leaving, next.departed = v.tracker.Leaving(), departures(now, next, targets)
 	next.targets, next.services = targets, services
 	return true
 }
