An entry of a service that is not configured names no target

An entry of another writer under a target's own id, with a service that nobody named and a later born, took the target out of its service, and its own entry was then ignored as one of an earlier incarnation: the target was lost until the other entry went. Cause: the list of targets, the tracker, and counts of targets by zone took any service name. Only the choice of a target for a request asked for the service. Change: hosts leave such entries out before the tracker sees them, so that they count as missing: the target that they hide is back with its own entry. A new configuration with other services applies the last list again. Weighed: to leave them out on the watchers. Hosts would then depend on the build of the watcher.

--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -161,9 +162,16 @@
 	log          *slog.Logger
 	decodeConfig func([]byte) (*traffic.Config, error)
 
-	mu           sync.Mutex
-	current      *view
-	tracker      *fleet.Tracker
+	mu      sync.Mutex
+	current *view
+	tracker *fleet.Tracker
+	// listed is the last list of targets and its era, services the configuration by whose
+	// services the tracker got it.
+	listed    fleet.List
+	listedEra platform.Era
+	services  *traffic.Table
+	// unconfigured holds the services of the entries that the tracker did not get.
+	unconfigured map[place.Target]string
 	readVersions map[docsync.Name]docsync.Version
 	// published are the routing tables received from leaders.
 	published map[key.Service]publishedTable
@@ -332,7 +340,11 @@
 			v.log.Error("List of targets not decodable, keeping the last one.", slog.Any("error", err))
 			return false
 		}
-		v.tracker.Update(now, list, platform.Revision(doc.Version.Major).Era())
+		v.listed, v.listedEra = list, platform.Revision(doc.Version.Major).Era()
+	}
+	if ok || !sameServices(v.services, next.routes) {
+		v.services = next.routes
+		v.tracker.Update(now, v.configuredTargets(doc.Version.Major), v.listedEra)
 	} else if at := v.tracker.NextChange(); at.IsZero() || now.Before(at) {
 		return false
 	}
@@ -351,6 +363,40 @@
 	return true
 }
 
+// configuredTargets returns the last list without the targets of services that are not
+// configured: other writers leave entries among those of the targets. Before the first
+// configuration it returns the whole list.
+func (v *viewBuilder) configuredTargets(revision uint64) fleet.List {
+	if v.services == nil {
+		return v.listed
+	}
+	out, unconfigured := v.listed, make(map[place.Target]string)
+	out.Targets = nil
+	for _, row := range v.listed.Targets {
+		if v.services.Service(key.Service(row.Service)) != nil {
+			out.Targets = append(out.Targets, row)
+			continue
+		}
+		unconfigured[row.Target] = row.Service
+		if v.unconfigured[row.Target] != row.Service {
+			v.log.Warn("Target entry of a service that is not configured, left out.", slog.String("target", string(row.Target)),
+				slog.String("service", row.Service), slog.Uint64("revision", revision))
+		}
+	}
+	v.unconfigured = unconfigured
+	return out
+}
+
+// sameServices reports whether two configurations, each nil for none, have the same services.
+func sameServices(a, b *traffic.Table) bool {
+	if a == b || a == nil || b == nil {
+		return a == b
+	}
+	services := a.Config().Services
+	return len(services) == len(b.Config().Services) &&
+		!slices.ContainsFunc(services, func(s traffic.Service) bool { return b.Service(s.Name) == nil })
+}
+
 // departedTTL is how long removed targets are remembered. It is far longer than the
 // lists of two hosts differ.
 const departedTTL = 20 * time.Second
--- a/internal/host/view_test.go
+++ b/internal/host/view_test.go
@@ -16,6 +16,7 @@
 	"citrontray.example/citrontray/internal/owner"
 	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/platform"
+	"citrontray.example/citrontray/internal/traffic"
 )
 
 // TestChooseTable: a leader's routing table is used while it is recent, and later only
@@ -93,6 +94,48 @@
 	}
 }
 
+// TestUnconfiguredService guards against entries of services that nobody named: they name no
+// target, also over the entry of a target, which is back with its own one.
+func TestUnconfiguredService(t *testing.T) {
+	own := place.TargetRow{Target: "t", Service: "desk", Incarnation: 1, State: place.Live}
+	odd := place.TargetRow{Target: "t", Service: "metering", Incarnation: 99, State: place.Live}
+	const gone = ""
+	for name, test := range map[string]struct {
+		services [][]string // of each configuration, a second apart
+		rows     []place.TargetRow
+		want     string // the service of the target
+	}{
+		"configured":                   {[][]string{{"desk"}}, []place.TargetRow{own}, "desk"},
+		"not configured":               {[][]string{{"desk"}}, []place.TargetRow{odd}, gone},
+		"configured later":             {[][]string{{"desk"}, {"desk", "metering"}}, []place.TargetRow{odd, odd}, "metering"},
+		"no longer configured":         {[][]string{{"desk", "metering"}, {"metering"}, {"metering"}}, []place.TargetRow{own, own, own}, gone},
+		"over the entry of the target": {[][]string{{"desk"}, {"desk"}, {"desk"}}, []place.TargetRow{own, odd, odd}, gone},
+		"and back":                     {[][]string{{"desk"}, {"desk"}, {"desk"}}, []place.TargetRow{own, odd, own}, "desk"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now, documents := time.Unix(1000, 0), docsync.New()
+			configs := make(map[string]*traffic.Config)
+			v := newViewBuilder(documents, logging.Nop(), func(body []byte) (*traffic.Config, error) { return configs[string(body)], nil })
+			for i, services := range test.services {
+				c, at := &traffic.Config{Version: traffic.Version(i + 1)}, uint64(i+1)
+				for _, s := range services {
+					c.Services = append(c.Services, traffic.Service{Name: key.Service(s)})
+				}
+				configs[fmt.Sprint(i)] = c
+				documents.PublishFromStore(docsync.Document{Name: docTraffic, Version: docsync.Version{Major: at}, Body: fmt.Append(nil, i)})
+				list := fleet.List{Targets: []place.TargetRow{test.rows[i]}}
+				body, err := list.Encode()
+				assert.NilError(t, err)
+				documents.PublishFromStore(docsync.Document{Name: docTargets, Version: docsync.Version{Major: at}, Body: body})
+				v.refresh(now)
+				now = now.Add(time.Second)
+			}
+			v.refresh(now)
+			assert.Equal(t, v.view().targets["t"].Service, test.want)
+		})
+	}
+}
+
 // TestRemovedTargetExpiresInTime: a removed target is in no view once its grace has
 // passed. The check for expired targets must not wait for the next regular one: in
 // hunt-1288-7 of serantau-dq a host used a removed target for 2.2 s because of that.
