One host's refused connection doesn't end the wait for orders to an owner

In a cut of a zone that refuses connections, a leader in the zone took owners outside for ended: its own refusal was enough if no other host could tell, and other hosts of its zone are refused just as it is. Orders of a leader that had been killed before could then reach the owner after the cut, when another target had its ranges: two owners. Cause: what the network did to one path, or to one zone, was taken for the state of the target. For the quarantine that is intended (it does less harm than the opposite); the owner's core used the same check. Change: the check says how much it shows. For ranges one of two refusing hosts has to be in the target's zone, or they are of two zones if no host is there. A host that has lost its paths to all targets says that it can't tell. So that the proof is still had after a target's entry has gone, hosts keep the rows of targets that were removed in the last 20 s.

--- a/internal/host/backoff.go
+++ b/internal/host/backoff.go
@@ -31,8 +31,8 @@
 // drain time counts from when the platform knew of it, which is up to listLag before this
 // host did, or from the target's signal.
 func (j *job) sendUntil(now time.Time, v *view, owner place.Target) time.Time {
-	if at, ok := v.departed[owner]; ok {
-		return at
+	if gone, ok := v.departed[owner]; ok {
+		return gone.removedAt
 	}
 	drain := j.host.bounds.Load().Drain
 	var until time.Time
--- a/internal/host/endcheck.go
+++ b/internal/host/endcheck.go
@@ -4,7 +4,8 @@
 	"context"
 	"errors"
 	"log/slog"
-	"sync/atomic"
+	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -39,14 +40,29 @@
 	checks, asked singleflight.Group
 }
 
-// hasEnded reports whether a target has ended: this host and those that it asks are refused.
-// Attempts that are cut at the same time share one check. If no other host can tell, the
-// refusal alone counts: a request that ends targets does more harm than one that is refused.
-func (e *endChecks) hasEnded(ctx context.Context, row place.TargetRow) bool {
-	ended, _, _ := e.checks.Do(row.Addr.String(), func() (any, error) {
-		return e.connect(ctx, row) == relay.ReachRefused && !e.reachedByOthers(ctx, row), nil
+// endEvidence is what attempts of several hosts to connect to a target show.
+type endEvidence uint8
+
+const (
+	// notEnded: a host connects, or this one is not refused.
+	notEnded endEvidence = iota
+	// refusedHere: this host is refused, and others can't tell enough. A network may do that.
+	refusedHere
+	// refusedEverywhere: this host is refused and another one, too, and one of them is in the
+	// target's zone. If no host is in that zone, they are of two zones.
+	refusedEverywhere
+)
+
+// check finds out whether a target has ended. Attempts that are cut at the same time share one
+// check.
+func (e *endChecks) check(ctx context.Context, row place.TargetRow) endEvidence {
+	evidence, _, _ := e.checks.Do(row.Addr.String(), func() (any, error) {
+		if e.connect(ctx, row) != relay.ReachRefused {
+			return notEnded, nil
+		}
+		return e.askOthers(ctx, row), nil
 	})
-	return ended.(bool)
+	return evidence.(endEvidence)
 }
 
 // connect tries to connect to a target.
@@ -63,17 +79,22 @@
 	return relay.ReachUnknown
 }
 
-// reachedByOthers reports whether another host reaches a target.
-func (e *endChecks) reachedByOthers(ctx context.Context, row place.TargetRow) bool {
+// askOthers returns what other hosts add to the evidence of this one, which is refused.
+func (e *endChecks) askOthers(ctx context.Context, row place.TargetRow) endEvidence {
 	body, err := relay.EncodeTarget(row.Target, row.Incarnation)
 	if err != nil {
 		e.host.log.Error("Question about a target not encoded.", slog.Any("error", err))
-		return false
+		return refusedHere
 	}
-	var reached atomic.Bool
-	var questions errgroup.Group
-	for _, m := range e.witnesses() {
-		questions.Go(func() error {
+	var (
+		mu       sync.Mutex
+		reached  bool
+		refused  = []place.Zone{e.host.site.Zone}
+		witness  = e.witnesses(row.Zone)
+		question errgroup.Group
+	)
+	for _, m := range witness {
+		question.Go(func() error {
 			ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 			defer cancel()
 			response, err := e.host.transport.Call(ctx, m.PeerAddr, peer.KindReach, body)
@@ -82,19 +103,47 @@
 					slog.String("target", string(row.Target)), slog.Any("error", err))
 				return nil
 			}
-			if relay.DecodeReach(response) == relay.ReachOpen {
-				reached.Store(true)
+			mu.Lock()
+			defer mu.Unlock()
+			switch relay.DecodeReach(response) {
+			case relay.ReachOpen:
+				reached = true
+			case relay.ReachRefused:
+				refused = append(refused, m.Zone)
+			case relay.ReachUnknown:
 			}
 			return nil
 		})
 	}
-	_ = questions.Wait() // no question returns an error
-	return reached.Load()
+	_ = question.Wait() // no question returns an error
+	if reached {
+		return notEnded
+	}
+	return e.evidenceOf(row, refused)
 }
 
-// witnesses returns the hosts that are asked about a target: one of each zone first, those of
-// other zones before this one's, as a network may fail for a whole zone.
-func (e *endChecks) witnesses() []member.Host {
+// evidenceOf returns what refusals of hosts of the given zones show, this host's among them.
+func (e *endChecks) evidenceOf(row place.TargetRow, refused []place.Zone) endEvidence {
+	v := e.host.views.view()
+	if len(refused) < 2 || e.host.paths.allLost(v) {
+		return refusedHere
+	}
+	if slices.ContainsFunc(v.members.Hosts, func(m member.Host) bool { return m.Zone == row.Zone }) {
+		if slices.Contains(refused, row.Zone) {
+			return refusedEverywhere
+		}
+		return refusedHere
+	}
+	if slices.ContainsFunc(refused, func(z place.Zone) bool { return z != e.host.site.Zone }) {
+		return refusedEverywhere
+	}
+	return refusedHere
+}
+
+// witnesses returns the hosts that are asked about a target: one of each zone first, that of
+// the target before all others and this host's after them, as a network may fail for a whole
+// zone.
+func (e *endChecks) witnesses(zone place.Zone) []member.Host {
 	var first, rest []member.Host
 	asked := map[place.Zone]bool{e.host.site.Zone: true}
 	for _, m := range e.host.reachableHosts() {
@@ -103,6 +152,10 @@
 			continue
 		}
 		asked[m.Zone] = true
+		if m.Zone == zone {
+			first = slices.Insert(first, 0, m)
+			continue
+		}
 		first = append(first, m)
 	}
 	first = append(first, rest...)
@@ -115,10 +168,13 @@
 	if err != nil {
 		return nil, err
 	}
-	row, listed := e.host.views.view().targets[name]
-	if !listed || row.Incarnation != incarnation {
+	row, known := e.host.views.view().knownTarget(name)
+	if !known || row.Incarnation != incarnation {
 		return relay.EncodeReach(relay.ReachUnknown), nil
 	}
+	if e.host.paths.allLost(e.host.views.view()) {
+		return relay.EncodeReach(relay.ReachUnknown), nil // a refusal would show the state of this host's links
+	}
 	reach, _, _ := e.asked.Do(row.Addr.String(), func() (any, error) {
 		return e.connect(context.WithoutCancel(ctx), row), nil
 	})
@@ -145,7 +201,9 @@
 // run makes the check and records an end.
 func (c *endCheck) run(ctx context.Context) {
 	j, h := c.job, c.job.host
-	if !h.endChecks.hasEnded(ctx, c.row) {
+	// The refusal of this host alone counts, too: a request that ends targets does more harm
+	// than one that is refused.
+	if h.endChecks.check(ctx, c.row) == notEnded {
 		return
 	}
 	h.quarantine.ended(time.Now(), j, c.known, quarantine.End{Target: c.row.Target, Incarnation: c.row.Incarnation})
--- a/internal/host/leaving_test.go
+++ b/internal/host/leaving_test.go
@@ -95,13 +95,13 @@
 	} {
 		row := place.TargetRow{Target: place.Target("t-" + name), Incarnation: 1}
 		v := &view{
-			targets: map[place.Target]place.TargetRow{row.Target: row}, leaving: map[place.Target]time.Time{}, departed: map[place.Target]time.Time{},
+			targets: map[place.Target]place.TargetRow{row.Target: row}, leaving: map[place.Target]time.Time{}, departed: map[place.Target]departedTarget{},
 		}
 		if !test.leaving.IsZero() {
 			v.leaving[row.Target] = test.leaving
 		}
 		if !test.departed.IsZero() {
-			v.departed[row.Target] = test.departed
+			v.departed[row.Target] = departedTarget{row, test.departed}
 		}
 		if !test.signaled.IsZero() {
 			h.dispatcher.backoffs.Record(test.signaled, row.Target, row.Incarnation, target.Signal{Leaving: true})
--- a/internal/host/paths.go
+++ b/internal/host/paths.go
@@ -90,6 +90,18 @@
 	return m.table.ServiceLost(service, targets)
 }
 
+// allLost reports whether this host has no path to any target.
+func (m *pathMonitor) allLost(v *view) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for service, rows := range v.services {
+		if !m.table.ServiceLost(service, len(rows)) {
+			return false
+		}
+	}
+	return len(v.services) > 0
+}
+
 // lostTargets returns the targets among rows, all those of a service, to which this host has
 // no path.
 func (m *pathMonitor) lostTargets(rows []place.TargetRow) []place.Target {
--- a/internal/host/tasks.go
+++ b/internal/host/tasks.go
@@ -84,11 +84,12 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return
 	}
-	row := c.host.views.view().targets[name]
-	if row.Addr != addr {
+	row, known := c.host.views.view().knownTarget(name)
+	if !known || row.Addr != addr {
 		row = place.TargetRow{Target: name, Service: string(c.service), Addr: addr}
 	}
-	if c.host.endChecks.hasEnded(ctx, row) {
+	// A network may refuse this host alone, while the target holds its ranges.
+	if c.host.endChecks.check(ctx, row) == refusedEverywhere {
 		c.post(func(now time.Time) bool { c.core.TargetEnded(now, name, addr); return true })
 	}
 }
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -34,8 +34,8 @@
 	// leaving maps the listed targets that are leaving to the time at which this host read
 	// that.
 	leaving map[place.Target]time.Time
-	// departed maps recently removed targets to the time of their removal.
-	departed map[place.Target]time.Time
+	// departed holds the recently removed targets.
+	departed map[place.Target]departedTarget
 	members  member.List
 	tables   map[key.Service]*owner.Table
 	tableAt  map[key.Service]time.Time
@@ -94,6 +94,15 @@
 	return gone
 }
 
+// knownTarget returns the row of a target that is listed or was removed recently.
+func (v *view) knownTarget(name place.Target) (place.TargetRow, bool) {
+	if row, ok := v.targets[name]; ok {
+		return row, true
+	}
+	gone, ok := v.departed[name]
+	return gone.TargetRow, ok
+}
+
 // Members implements dispatch.Catalog.
 func (v *view) Members(pool dispatch.PoolID) []place.TargetRow {
 	if pool.Target != "" {
@@ -401,18 +410,25 @@
 // lists of two hosts differ.
 const departedTTL = 20 * time.Second
 
+// departedTarget is a target that was removed.
+type departedTarget struct {
+	place.TargetRow
+
+	removedAt time.Time
+}
+
 // departures returns the recently removed targets, given the targets that are listed
 // now.
-func departures(now time.Time, v *view, targets map[place.Target]place.TargetRow) map[place.Target]time.Time {
-	out := make(map[place.Target]time.Time)
-	for name, at := range v.departed {
-		if _, listed := targets[name]; !listed && now.Sub(at) < departedTTL {
-			out[name] = at
+func departures(now time.Time, v *view, targets map[place.Target]place.TargetRow) map[place.Target]departedTarget {
+	out := make(map[place.Target]departedTarget)
+	for name, gone := range v.departed {
+		if _, listed := targets[name]; !listed && now.Sub(gone.removedAt) < departedTTL {
+			out[name] = gone
 		}
 	}
-	for name := range v.targets {
+	for name, row := range v.targets {
 		if _, listed := targets[name]; !listed {
-			out[name] = now
+			out[name] = departedTarget{row, now}
 		}
 	}
 	return out
