Bodies of responses and requests stay within one memory budget until they are sent

Cause: each response was bounded, but their sum was not. A body's memory was returned to the budget when the handler had ended, though the response was copied twice and waited for its client, up to 30 s; growing a body left up to four times its length as garbage, and nothing bounded what the collector leaves; bodies of requests, and results of other hosts, were read whole before memory was reserved; the kernel grew the receive buffer of a socket to tens of megabytes. Ruled out: heads (64 KiB each), responses to orders (64 KiB) and of the store (8 MiB) by themselves: nothing grew with them. Change: package body reads all bodies, and reserves memory before it is used, at most twice what has arrived. Requests, results of other hosts and responses take from one budget, a quarter of the host's memory, until the response was written. Its body is not copied. The collector keeps the heap below 0.6 of the memory. Tests of body, forward, ingress, peer, host, entry and platform pass.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"citrontray.example/citrontray/internal/body"
 	"citrontray.example/citrontray/internal/outcome"
 	"citrontray.example/citrontray/internal/target"
 )
@@ -226,48 +227,17 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
-const (
-	// firstBodyRead is the memory in bytes that is reserved first for a body of unknown
-	// length. maxBodyRead bounds each reservation for any body, since a body need not
-	// be as long as its header claims.
-	firstBodyRead = 4 << 10
-	maxBodyRead   = 64 << 10
-)
-
-var (
-	errBodyTooLarge = errors.New("forward: response body is too large")
-	errNoMemory     = errors.New("forward: no memory left for the response")
-)
-
-// readBody reads a body of at most r.MaxBody bytes. It reserves the memory for each
-// part before reading it.
+// readBody reads a body of at most r.MaxBody bytes.
 func (c *conn) readBody(resp *http.Response, r *Request) ([]byte, Result) {
 	c.limit.N = r.MaxBody + maxHeaderBytes // with chunk headers and trailers
-	size := int64(firstBodyRead)
-	if n := resp.ContentLength; n >= 0 {
-		size = n + 1 // one more, to reach the end
-	}
-	var body []byte
-	for {
-		size = min(size, maxBodyRead, r.MaxBody+1-int64(len(body)))
-		if r.Reserve != nil && !r.Reserve(size) {
-			return nil, Uncertain{Reason: outcome.AnswerTooBig, Err: errNoMemory}
-		}
-		body = slices.Grow(body, int(size))
-		for end := len(body) + int(size); len(body) < end; {
-			n, err := resp.Body.Read(body[len(body):end])
-			body = body[:len(body)+n]
-			switch {
-			case errors.Is(err, io.EOF):
-				return body, nil
-			case err != nil:
-				return nil, uncertain(outcome.AnswerCut, err)
-			case int64(len(body)) > r.MaxBody:
-				return nil, Uncertain{Reason: outcome.AnswerTooBig, Err: errBodyTooLarge}
-			}
-		}
-		size = int64(len(body))
-	}
+	out, err := body.Read(resp.Body, resp.ContentLength, r.MaxBody, r.Reserve)
+	switch {
+	case err == nil:
+		return out, nil
+	case errors.Is(err, body.ErrTooLarge), errors.Is(err, body.ErrNoMemory):
+		return nil, Uncertain{Reason: outcome.AnswerTooBig, Err: err}
+	}
+	return nil, uncertain(outcome.AnswerCut, err)
 }
 
 // uncertain returns an Uncertain with the reason, or with AnswerLate if err is a
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -1,7 +1,7 @@
 package host
 
 import (
-	"io"
+	"errors"
 	"log/slog"
 	"net/http"
 	"net/url"
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"citrontray.example/citrontray/internal/body"
 	"citrontray.example/citrontray/internal/forward"
 	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/outcome"
@@ -29,13 +30,23 @@
 	maxBodyMemoryShare = 0.25
 )
 
+// sentNotifier is a response writer that keeps the response until the client takes it.
+type sentNotifier interface {
+	// OnSent calls f once the response was written, or can't be.
+	OnSent(f func())
+}
+
 // ServeHTTP handles one client request.
 func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
 	id := r.Header.Get(h.names.Request)
 	j, result := h.newJob(w, r, id, start)
 	if result == nil {
-		defer func() { h.bodyMemory.Release(j.reservedBytes) }()
+		if s, ok := w.(sentNotifier); ok {
+			s.OnSent(j.releaseMemory)
+		} else {
+			defer j.releaseMemory()
+		}
 		result = j.run(r.Context())
 	}
 	h.recordEnd(j, id, start, result)
@@ -82,21 +93,20 @@
 		h.keyCounter.count(service.Name, j.point)
 	}
 	h.retries.CountRequest(now, service.Name)
-	body, result := h.readBody(r, limits.MaxBodyBytes)
+	content, result := h.readBody(r, limits.MaxBodyBytes, j.reserveMemory)
+	if result == nil && h.stop.Load().refuses(time.Now(), j.deadline) {
+		result = outcome.NotRunFailure{Reason: outcome.Stopping, RetryAfter: stoppingRetryAfter}
+	}
 	if result != nil {
+		j.releaseMemory()
 		return nil, result
 	}
-	if h.stop.Load().refuses(time.Now(), j.deadline) {
-		h.bodyMemory.Release(int64(len(body)))
-		return nil, outcome.NotRunFailure{Reason: outcome.Stopping, RetryAfter: stoppingRetryAfter}
-	}
 	header := forward.StripHopByHop(r.Header)
 	for _, name := range []string{h.names.Request, h.names.Deadline, h.names.Expect} {
 		header.Del(name)
 	}
-	j.reservedBytes = int64(len(body))
 	j.request = forward.Request{
-		ID: id, Method: r.Method, URI: r.RequestURI, Header: header, Body: body,
+		ID: id, Method: r.Method, URI: r.RequestURI, Header: header, Body: content,
 		Deadline: j.deadline, MaxBody: maxBodyBytes, HeaderNames: h.names, Host: r.Host, Reserve: j.reserveMemory,
 	}
 	j.fingerprint = h.quarantine.fingerprint(&j.request, header.Get(h.names.Key))
@@ -163,9 +173,8 @@
 	return n
 }
 
-// readBody reads a body into memory, limited by limit and by the body memory of the
-// host.
-func (h *Host) readBody(r *http.Request, limit int64) ([]byte, outcome.Result) {
+// readBody reads a body of at most limit bytes into memory that it reserves.
+func (h *Host) readBody(r *http.Request, limit int64, reserve body.Reserve) ([]byte, outcome.Result) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -175,18 +184,17 @@
 	if r.ContentLength > limit {
 		return nil, outcome.NotRunFailure{Reason: outcome.BodyTooBig}
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	out, err := body.Read(r.Body, r.ContentLength, limit, reserve)
 	switch {
-	case err != nil:
-		h.log.Info("Request body not read.", slog.Any("error", err))
-		return nil, outcome.NotRunFailure{Reason: outcome.BodyCut}
-	case int64(len(body)) > limit:
+	case err == nil:
+		return out, nil
+	case errors.Is(err, body.ErrTooLarge):
 		return nil, outcome.NotRunFailure{Reason: outcome.BodyTooBig}
-	}
-	if !h.bodyMemory.TryAcquire(int64(len(body))) {
+	case errors.Is(err, body.ErrNoMemory):
 		return nil, outcome.NotRunFailure{Reason: outcome.Overload, RetryAfter: defaultRetryAfter}
 	}
-	return body, nil
+	h.log.Info("Request body not read.", slog.Any("error", err))
+	return nil, outcome.NotRunFailure{Reason: outcome.BodyCut}
 }
 
 // recordEnd counts the request and logs a single line with its result and the reasons
--- a/internal/host/job.go
+++ b/internal/host/job.go
@@ -436,6 +436,12 @@
 	return true
 }
 
+// releaseMemory returns what was reserved.
+func (j *job) releaseMemory() {
+	j.host.bodyMemory.Release(j.reservedBytes)
+	j.reservedBytes = 0
+}
+
 // logAttempt logs an attempt that was not served.
 func (j *job) logAttempt(t ticket, end dispatch.Result, took time.Duration, result forward.Result) {
 	attrs := []any{
--- a/internal/host/main.go
+++ b/internal/host/main.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 )
@@ -11,6 +12,10 @@
 // logFlushTimeout is how long an ending process waits for its log to be written.
 const logFlushTimeout = 200 * time.Millisecond
 
+// heapShare is the share of a host's memory up to which garbage may stay uncollected. The
+// rest is for what sockets hold.
+const heapShare = 0.6
+
 // Main runs a host until SIGTERM or SIGINT. It returns the exit code: 0 after a
 // graceful stop, 1 after a failure, 2 if its sockets can't be opened.
 func Main(env Environment) int {
@@ -18,6 +23,7 @@
 	defer stop()
 	defer env.LogHandler.Close(logFlushTimeout)
 	log := slog.New(env.LogHandler)
+	debug.SetMemoryLimit(int64(heapShare * float64(env.Site.MemoryBytes)))
 	h, err := Open(env)
 	if err != nil {
 		log.Error("Not started.", slog.Any("error", err))
--- a/internal/host/relayer.go
+++ b/internal/host/relayer.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"citrontray.example/citrontray/internal/body"
 	"citrontray.example/citrontray/internal/forward"
 	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/member"
@@ -223,7 +224,7 @@
 		Config: j.config, Service: j.service.Name, Point: j.point, Timeout: j.deadline.Sub(now), SoftTimeout: j.softDeadline.Sub(now),
 		Attempts: j.attempts, Arrivals: j.arrivals,
 	}
-	body, err := out.Encode()
+	message, err := out.Encode()
 	if err != nil {
 		j.host.log.Error("Request not encoded.", slog.String("request", j.request.ID), slog.Any("error", err))
 		return nil
@@ -231,7 +232,7 @@
 	ctx, cancel := context.WithDeadline(ctx, j.deadline.Add(relayGrace))
 	defer cancel()
 	j.relayedTo = m.Name
-	response, err := j.host.transport.Call(ctx, m.PeerAddr, peer.KindRelay, body)
+	response, err := j.host.transport.CallReserving(ctx, m.PeerAddr, peer.KindRelay, message, j.reserveMemory)
 	if err != nil {
 		return j.relayFailed(ctx, m, err)
 	}
@@ -240,15 +241,12 @@
 		j.host.log.Error("Result of another host not decodable.", slog.String("request", j.request.ID), slog.String("to", string(m.Name)), slog.Any("error", err))
 		return outcome.UnknownFailure{Reason: outcome.AnswerBad}
 	}
-	answer, served := result.(outcome.Response)
+	_, served := result.(outcome.Response)
 	r.responded(time.Now(), m.Name, j.service.Name, served)
 	if f, ok := result.(outcome.NotRunFailure); ok && f.Reason == reasonNoPath {
 		r.pause(time.Now(), relayRoute{m.Name, j.service.Name})
 		return nil
 	}
-	if served && !j.reserveMemory(int64(len(answer.Body))) {
-		return outcome.UnknownFailure{Reason: outcome.AnswerTooBig}
-	}
 	return result
 }
 
@@ -257,6 +255,8 @@
 func (j *job) relayFailed(ctx context.Context, m member.Host, err error) outcome.Result {
 	j.host.log.Info("No result from another host.", slog.String("request", j.request.ID), slog.String("to", string(m.Name)), slog.Any("error", err))
 	switch {
+	case errors.Is(err, body.ErrNoMemory):
+		return outcome.UnknownFailure{Reason: outcome.AnswerTooBig}
 	case errors.Is(err, peer.ErrTooLarge):
 		// Nothing was sent, and the configuration allows such a body.
 		return outcome.NotRunFailure{Reason: outcome.Unreachable, RetryAfter: defaultRetryAfter}
@@ -284,7 +284,7 @@
 	}
 	j, result := r.newJob(&in, start)
 	if result == nil {
-		defer func() { r.host.bodyMemory.Release(j.reservedBytes) }()
+		defer j.releaseMemory()
 		result = j.run(ctx)
 	}
 	attrs := []any{
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -232,6 +232,9 @@
 		x.closeAfter = c.closing && len(c.queue) == 1
 		c.mu.Unlock()
 		err := c.write(x)
+		if x.onSent != nil {
+			x.onSent()
+		}
 		c.mu.Lock()
 		c.queue[0] = nil
 		c.queue = c.queue[1:]
@@ -267,13 +270,17 @@
 
 // writeInterim writes an interim response. Its request must be at the front of the
 // queue.
-func (c *conn) writeInterim(text string) error { return c.send([]byte(text)) }
+func (c *conn) writeInterim(text string) error { return c.send(net.Buffers{[]byte(text)}) }
 
-func (c *conn) send(out []byte) error {
+func (c *conn) send(out net.Buffers) error {
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	_, err := c.Write(out)
+	if len(out) == 1 {
+		_, err := c.Write(out[0])
+		return err
+	}
+	_, err := out.WriteTo(c.Conn)
 	return err
 }
 
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -20,6 +21,8 @@
 	header   http.Header
 	status   int
 	response []byte
+	// onSent is called once the response was written, or can't be; nil for nothing.
+	onSent func()
 	// answered is set once the response is complete. It is guarded by conn.mu.
 	answered bool
 }
@@ -74,6 +77,16 @@
 	}
 }
 
+// KeepBody is Write for the only part of a body, which must not change any more. It is not
+// copied.
+func (x *exchange) KeepBody(p []byte) {
+	x.WriteHeader(http.StatusOK)
+	x.response = p
+}
+
+// OnSent calls f once the response was written, or can't be.
+func (x *exchange) OnSent(f func()) { x.onSent = f }
+
 // Write implements http.ResponseWriter. It buffers the response.
 func (x *exchange) Write(p []byte) (int, error) {
 	x.WriteHeader(http.StatusOK)
@@ -81,8 +94,11 @@
 	return len(p), nil
 }
 
+// copiedBody is the length up to which a body is sent in one buffer with its head.
+const copiedBody = 8 << 10
+
 // encode returns the encoded response.
-func (x *exchange) encode(now time.Time) []byte {
+func (x *exchange) encode(now time.Time) net.Buffers {
 	x.WriteHeader(http.StatusOK)
 	bodyless := x.status == http.StatusNoContent || x.status == http.StatusNotModified
 	if _, ok := x.header["Content-Length"]; !ok && !bodyless {
@@ -95,12 +111,17 @@
 		x.header["Date"] = []string{now.UTC().Format(http.TimeFormat)}
 	}
 	const headSize = 512
-	out := bytes.NewBuffer(make([]byte, 0, headSize+len(x.response)))
+	content := x.response
+	if bodyless || x.request != nil && x.request.Method == http.MethodHead {
+		content = nil
+	}
+	out := bytes.NewBuffer(make([]byte, 0, headSize+min(len(content), copiedBody)))
 	out.WriteString(statusLine(x.status))
 	_ = x.header.Write(out) // writes to a buffer can't fail
 	out.WriteString("\r\n")
-	if !bodyless && (x.request == nil || x.request.Method != http.MethodHead) {
-		out.Write(x.response)
+	if len(content) > copiedBody {
+		return net.Buffers{out.Bytes(), content}
 	}
-	return out.Bytes()
+	out.Write(content)
+	return net.Buffers{out.Bytes()}
 }
--- a/internal/outcome/write.go
+++ b/internal/outcome/write.go
@@ -59,11 +59,19 @@
 		h["Content-Length"] = []string{strconv.Itoa(len(resp.Body))}
 	}
 	w.WriteHeader(resp.Status)
-	if len(resp.Body) > 0 {
-		_, _ = w.Write(resp.Body)
+	if len(resp.Body) == 0 {
+		return
+	}
+	if k, ok := w.(bodyKeeper); ok {
+		k.KeepBody(resp.Body)
+		return
 	}
+	_, _ = w.Write(resp.Body)
 }
 
+// bodyKeeper is a response writer that does not copy a body which does not change any more.
+type bodyKeeper interface{ KeepBody(p []byte) }
+
 // bodyAllowed reports whether a response may have a body. RFC 9110 allows none with
 // 204 and 304.
 func bodyAllowed(status int) bool {
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/quic-go/quic-go"
+
+	"citrontray.example/citrontray/internal/body"
 )
 
 const (
@@ -37,8 +39,14 @@
 // without one it is defaultTimeout from now. Errors: ErrUnreachable where
 // nothing was sent, ErrRefused, *RemoteError, ErrTooLarge, otherwise
 // ErrNoResponse.
-func (p *Peer) Call(ctx context.Context, to netip.AddrPort, kind Kind, body []byte) ([]byte, error) {
-	if len(body) > MaxMessage {
+func (p *Peer) Call(ctx context.Context, to netip.AddrPort, kind Kind, message []byte) ([]byte, error) {
+	return p.CallReserving(ctx, to, kind, message, nil)
+}
+
+// CallReserving is Call for responses that may be long: memory for one is reserved before
+// it is read. Without it the error is body.ErrNoMemory.
+func (p *Peer) CallReserving(ctx context.Context, to netip.AddrPort, kind Kind, message []byte, reserve body.Reserve) ([]byte, error) {
+	if len(message) > MaxMessage {
 		return nil, ErrTooLarge
 	}
 	if _, ok := ctx.Deadline(); !ok {
@@ -61,7 +69,7 @@
 	if !mayServe(c.identity.Role, kind) {
 		return nil, ErrRefused
 	}
-	return c.call(ctx, kind, body)
+	return c.call(ctx, kind, message, reserve)
 }
 
 func (p *Peer) remote(to netip.AddrPort) (*remote, error) {
@@ -202,7 +210,7 @@
 }
 
 // call sends one message on a stream of its own and reads the response.
-func (c *connection) call(ctx context.Context, kind Kind, body []byte) ([]byte, error) {
+func (c *connection) call(ctx context.Context, kind Kind, message []byte, reserve body.Reserve) ([]byte, error) {
 	stream, err := c.conn.OpenStreamSync(ctx)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
@@ -213,14 +221,14 @@
 	})
 	defer stop()
 	deadline, _ := ctx.Deadline()
-	header := appendRequestHeader(make([]byte, 0, requestHeaderSize+len(body)), kind, time.Until(deadline))
-	if _, err := stream.Write(append(header, body...)); err != nil {
+	header := appendRequestHeader(make([]byte, 0, requestHeaderSize+len(message)), kind, time.Until(deadline))
+	if _, err := stream.Write(append(header, message...)); err != nil {
 		return nil, noResponse(ctx, err)
 	}
 	if err := stream.Close(); err != nil {
 		return nil, noResponse(ctx, err)
 	}
-	response, err := readResponse(stream)
+	response, err := readResponse(stream, reserve)
 	if errors.Is(err, ErrNoResponse) {
 		return nil, noResponse(ctx, err)
 	}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"time"
+
+	"citrontray.example/citrontray/internal/body"
 )
 
 // MaxMessage bounds the body of a message and of a response, in bytes.
@@ -75,12 +77,12 @@
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return request{}, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
-	body, err := readBounded(r)
+	content, err := readBounded(r, nil)
 	if err != nil {
 		return request{}, err
 	}
 	timeout := time.Duration(binary.BigEndian.Uint32(header[1:usedHeaderSize])) * time.Millisecond
-	return request{kind: Kind(header[0]), timeout: min(timeout, maxTimeout), body: body}, nil
+	return request{kind: Kind(header[0]), timeout: min(timeout, maxTimeout), body: content}, nil
 }
 
 func encodeResponse(body []byte, err error) []byte {
@@ -101,20 +103,20 @@
 	return append([]byte{byte(statusFailed)}, text...)
 }
 
-func readResponse(r io.Reader) ([]byte, error) {
+func readResponse(r io.Reader, reserve body.Reserve) ([]byte, error) {
 	var header [responseHeaderSize]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
-	body, err := readBounded(r)
+	content, err := readBounded(r, reserve)
 	if err != nil {
 		return nil, err
 	}
 	switch status(header[0]) {
 	case statusOK:
-		return body, nil
+		return content, nil
 	case statusFailed:
-		return nil, &RemoteError{Text: string(body[:min(len(body), maxErrorText)])}
+		return nil, &RemoteError{Text: string(content[:min(len(content), maxErrorText)])}
 	case statusRefused:
 		return nil, ErrRefused
 	}
@@ -122,13 +124,15 @@
 }
 
 // readBounded reads to the end; it returns ErrTooLarge beyond MaxMessage bytes.
-func readBounded(r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, MaxMessage+1))
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
-	}
-	if len(body) > MaxMessage {
+func readBounded(r io.Reader, reserve body.Reserve) ([]byte, error) {
+	content, err := body.Read(r, -1, MaxMessage, reserve)
+	switch {
+	case err == nil:
+		return content, nil
+	case errors.Is(err, body.ErrTooLarge):
 		return nil, ErrTooLarge
+	case errors.Is(err, body.ErrNoMemory):
+		return nil, err
 	}
-	return body, nil
+	return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 }
--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -11,14 +11,14 @@
 
 func TestResponsesRoundTrip(t *testing.T) {
 	var remote *RemoteError
-	body, err := readResponse(bytes.NewReader(encodeResponse([]byte("yes"), nil)))
+	body, err := readResponse(bytes.NewReader(encodeResponse([]byte("yes"), nil)), nil)
 	assert.NilError(t, err)
 	assert.Equal(t, string(body), "yes")
-	_, err = readResponse(bytes.NewReader(encodeResponse(nil, ErrRefused)))
+	_, err = readResponse(bytes.NewReader(encodeResponse(nil, ErrRefused)), nil)
 	assert.ErrorIs(t, err, ErrRefused)
-	_, err = readResponse(bytes.NewReader(encodeResponse(nil, errors.New("no"))))
+	_, err = readResponse(bytes.NewReader(encodeResponse(nil, errors.New("no"))), nil)
 	assert.Assert(t, errors.As(err, &remote))
-	_, err = readResponse(bytes.NewReader(nil))
+	_, err = readResponse(bytes.NewReader(nil), nil)
 	assert.ErrorIs(t, err, ErrNoResponse)
 }
 
@@ -39,7 +39,7 @@
 	f.Add(encodeResponse([]byte("yes"), nil))
 	f.Add(encodeResponse(nil, errors.New("no")))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		body, err := readResponse(bytes.NewReader(data))
+		body, err := readResponse(bytes.NewReader(data), nil)
 		assert.Assert(t, err == nil || body == nil)
 	})
 }
