Logs and metrics name what proves that a request did not run

A refusal that a target wrote twice and a true one give the same two lines, and a request that ended as not run does not say whether it was sent, refused or passed to another host. Change: `Request ended.` and `Request of another host ended.` have `proof` (unsent, marked, misdirected, relayed) if the request is reported as not run, and the counter not_run has it as a label. `Attempt not served.` has, for a refusal, the proof, whether the response names the request, and how many requests its connection had carried.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -44,6 +44,8 @@
 	idleTimeout time.Duration
 	// refused are the IDs of the requests that were refused on this connection.
 	refused []string
+	// carried counts the requests that ended on this connection.
+	carried int
 }
 
 // maxRefusals is how many refusals a connection carries before it is closed.
@@ -186,7 +188,7 @@
 	}
 	c.broken = resp.Close || c.br.Buffered() > 0
 	if refusal := resp.Header[target.HeaderNotRun]; len(refusal) == 1 {
-		return Refused{Refusal: target.Refusal(refusal[0]), Status: resp.StatusCode}
+		return Refused{Refusal: target.Refusal(refusal[0]), Status: resp.StatusCode, Named: true, Carried: c.carried}
 	}
 	return Completed{Response: outcome.Response{Status: resp.StatusCode, Header: SanitizeHeader(resp.Header), Body: body}}
 }
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -87,6 +87,7 @@
 	}
 	idle := c.idleFor(now)
 	result := c.roundTrip(r, p.host, now)
+	c.carried++
 	switch u := result.(type) {
 	case Uncertain:
 		u.Idle = idle
--- a/internal/forward/result.go
+++ b/internal/forward/result.go
@@ -64,7 +64,11 @@
 	Refusal target.Refusal
 	// Status is the HTTP status of the refusal.
 	Status int
-	Signal target.Signal
+	// Named is set if the response carries the request's ID.
+	Named bool
+	// Carried is how many requests the connection had carried before.
+	Carried int
+	Signal  target.Signal
 }
 
 // NotSent is the result if no byte of the request was sent, so that it did not run.
--- a/internal/forward/unsharded.go
+++ b/internal/forward/unsharded.go
@@ -118,7 +118,10 @@
 	}
 	c.broken = stale || resp.Close || !framed(resp) || c.br.Buffered() > 0
 	if refused(resp, r.HeaderNames) {
-		return Refused{Refusal: refusalOf(resp.StatusCode), Status: resp.StatusCode, Signal: target.SignalOf(resp, r.HeaderNames, r.Expect)}
+		return Refused{
+			Refusal: refusalOf(resp.StatusCode), Status: resp.StatusCode, Signal: target.SignalOf(resp, r.HeaderNames, r.Expect),
+			Named: resp.Header.Get(r.HeaderNames.Request) != "", Carried: c.carried,
+		}
 	}
 	if resp.StatusCode < http.StatusMultipleChoices && r.HeaderNames.Stamp != "" && resp.Header.Get(r.HeaderNames.Stamp) == "" {
 		c.broken = true
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -217,6 +217,10 @@
 		attrs = append(attrs, j.logAttrs()...)
 	}
 	h.metrics.countRequest(service, result, took)
+	if p := proofFor(j, result); p != "" {
+		h.metrics.countNotRun(service, p)
+		attrs = append(attrs, slog.String("proof", string(p)))
+	}
 	h.log.Info("Request ended.", attrs...)
 }
 
--- a/internal/host/job.go
+++ b/internal/host/job.go
@@ -78,6 +78,9 @@
 	refusal  dispatch.Reason
 	// denied is the state of the retry budget that denied a retry, nil if none did.
 	denied *budget.State
+	// proof is the evidence in the last refusal, by a target or by the host that the request
+	// was passed to; empty if there was none.
+	proof proof
 	// lastTarget is the target of the last attempt.
 	lastTarget place.Target
 	// reservedBytes is the memory reserved for bodies.
@@ -453,7 +456,7 @@
 	case forward.Completed:
 		attrs = append(attrs, slog.Int("status", r.Status))
 	case forward.Refused:
-		attrs = append(attrs, slog.Int("status", r.Status))
+		attrs = append(attrs, slog.Int("status", r.Status), slog.String("proof", string(proofOf(r))), slog.Bool("named", r.Named), slog.Int("carried", r.Carried))
 	case forward.NotSent:
 		attrs = append(attrs, slog.Any("error", r.Err))
 	case forward.Uncertain:
@@ -553,6 +556,7 @@
 }
 
 func (j *job) handleRefusal(t ticket, r forward.Refused) step {
+	j.proof = proofOf(r)
 	if r.Refusal == target.RefusalOwner {
 		j.misdirected++
 		if j.misdirected >= maxMisdirected {
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -56,6 +56,15 @@
 	}).RecordDuration(took)
 }
 
+// countNotRun counts a request that is reported as not run, by what proves it.
+func (m *metrics) countNotRun(service key.Service, p proof) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	getOrCreate(m.counters, metricID{"not_run", string(service), string(p), ""}, func() tally.Counter {
+		return m.scope(service, map[string]string{"proof": string(p)}).Counter("not_run")
+	}).Inc(1)
+}
+
 // countAttempt counts an attempt by its result and records its time and its wait for a
 // slot.
 func (m *metrics) countAttempt(service key.Service, end dispatch.Result, took, waited time.Duration) {
--- a/internal/host/relayer.go
+++ b/internal/host/relayer.go
@@ -247,6 +247,9 @@
 		r.pause(time.Now(), relayRoute{m.Name, j.service.Name})
 		return nil
 	}
+	if _, ok := result.(outcome.NotRunFailure); ok {
+		j.proof = proofRelayed
+	}
 	return result
 }
 
@@ -294,6 +297,9 @@
 	if j != nil {
 		attrs = append(attrs, j.logAttrs()...)
 	}
+	if p := proofFor(j, result); p != "" {
+		attrs = append(attrs, slog.String("proof", string(p)))
+	}
 	r.host.log.Info("Request of another host ended.", attrs...)
 	return relay.EncodeResult(result, false)
 }
