A target's status without the mark is no promise that a request did not run

Here: a target that has run a request and responds 503, 429 or 408 without the mark for requests that did not run; its status went to the caller unchanged, who takes it for a promise and sends the request again. Cause: job.handleResponse returned any complete response of a request that is not idempotent. Class: a promise made without proof. Ruled out: marked refusals and 421, which end as refused; idempotent requests, which may run twice and get the response as it is.

--- a/internal/fake/rangetarget.go
+++ b/internal/fake/rangetarget.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -24,6 +25,8 @@
 	// of the target itself, that are refused, and whose connection is reset
 	// after they ran.
 	Fail, Refuse, Reset float64
+	// FailStatus is the status of those that end with an error, which have run; 500 if zero.
+	FailStatus int
 	// DropOrders drops orders: they have no effect and no response.
 	DropOrders bool
 	// Unreachable makes connections for orders fail.
@@ -266,7 +269,7 @@
 	r.addLimit(w, id)
 	switch {
 	case draw < f.Refuse+f.Reset+f.Fail:
-		w.WriteHeader(http.StatusInternalServerError)
+		w.WriteHeader(cmp.Or(f.FailStatus, http.StatusInternalServerError))
 	default:
 		if r.names.Stamp != "" {
 			w.Header().Set(r.names.Stamp, string(r.Name)+"."+id)
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -65,6 +65,17 @@
 	}).Inc(1)
 }
 
+// countUnmarked counts a response with a status that means that the request did not run,
+// without the target's mark.
+func (m *metrics) countUnmarked(service key.Service, status int) {
+	text := strconv.Itoa(status)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	getOrCreate(m.counters, metricID{"unmarked_responses", string(service), text, ""}, func() tally.Counter {
+		return m.scope(service, map[string]string{"status": text}).Counter("unmarked_responses")
+	}).Inc(1)
+}
+
 // countAttempt counts an attempt by its result and records its time and its wait for a
 // slot.
 func (m *metrics) countAttempt(service key.Service, end dispatch.Result, took, waited time.Duration) {
--- a/internal/host/proof_test.go
+++ b/internal/host/proof_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -66,3 +67,47 @@
 	}
 	return ""
 }
+
+// TestUnmarkedStatusIsNoPromise: a target that has run a request and responds with a status that
+// states the contrary, without the mark for it, does not make the caller send it again.
+func TestUnmarkedStatusIsNoPromise(t *testing.T) {
+	t.Parallel()
+	respond := func(status int) func(d *deployment) {
+		return func(d *deployment) {
+			for _, r := range d.targets {
+				r.SetFaults(fake.RangeTargetFaults{Fail: 1, FailStatus: status})
+			}
+		}
+	}
+	tests := map[string]struct {
+		respond      func(d *deployment)
+		method, path string
+		want         int
+	}{
+		"503":             {respond(http.StatusServiceUnavailable), http.MethodPost, "/free/x", http.StatusBadGateway},
+		"429":             {respond(http.StatusTooManyRequests), http.MethodPost, "/free/x", http.StatusBadGateway},
+		"408":             {respond(http.StatusRequestTimeout), http.MethodPost, "/free/x", http.StatusBadGateway},
+		"500":             {respond(http.StatusInternalServerError), http.MethodPost, "/free/x", http.StatusInternalServerError},
+		"409":             {respond(http.StatusConflict), http.MethodPost, "/free/x", http.StatusConflict},
+		"503, idempotent": {respond(http.StatusServiceUnavailable), http.MethodGet, "/read/x", http.StatusServiceUnavailable},
+		"429, idempotent": {respond(http.StatusTooManyRequests), http.MethodGet, "/read/x", http.StatusTooManyRequests},
+	}
+	for name, test := range tests {
+		for _, relayed := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, relayed %t", name, relayed), func(t *testing.T) {
+				t.Parallel()
+				d := deploy(t, 2, 1, 2)
+				d.awaitServed()
+				if relayed {
+					d.hosts[0].paths.cut(cutReset)
+					d.measure(d.hosts[:1], time.Second) // the host finds out that its paths are lost
+				}
+				test.respond(d)
+				a := d.send(d.hosts[0], test.method, test.path, 0)
+				assert.NilError(t, a.err)
+				assert.Equal(t, a.status, test.want, "%s", a.reason)
+				assert.Assert(t, d.runs.Runs(a.id) > 0)
+			})
+		}
+	}
+}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -60,6 +60,9 @@
 	AnswerWrong  Reason = "answer-wrong"   // the response belongs to another request
 	AnswerTooBig Reason = "answer-too-big" // the response exceeds its limit or the memory left
 	AnswerBad    Reason = "answer-bad"     // the response is unusable, for example without framing or the target's stamp
+	// AnswerUnmarked: the status means that the request did not run, but the target has not
+	// marked the response so.
+	AnswerUnmarked Reason = "answer-unmarked"
 )
 
 // Result is the result of a request: a Response, a NotRunFailure or an
@@ -110,6 +113,16 @@
 	Quarantined:  http.StatusUnprocessableEntity,
 }
 
+// MeansNotRun reports whether a status tells the caller that the request did not run and
+// will not.
+func MeansNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Status returns the HTTP status of a result.
 func Status(r Result) int {
 	switch r := r.(type) {
