A response of another host above the limit is not taken for a request that was not sent

Evidence: TestLongResponseIsNotUnsent fails on the code before (peer: message too large). Change: a response above the limit is ErrNoResponse, which ends as unknown.

--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -40,7 +40,7 @@
 	statusRefused
 )
 
-// ErrTooLarge is returned for a message above MaxMessage.
+// ErrTooLarge is returned for a message above MaxMessage, which was not sent.
 var ErrTooLarge = errors.New("peer: message too large")
 
 // ErrMalformed is returned for a message that can't be decoded.
@@ -109,7 +109,11 @@
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
 	content, err := readBounded(r, reserve)
-	if err != nil {
+	switch {
+	case errors.Is(err, ErrTooLarge):
+		// The message was handled, so the caller must not get the error of one that was not sent.
+		return nil, fmt.Errorf("%w: response above %d bytes", ErrNoResponse, MaxMessage)
+	case err != nil:
 		return nil, err
 	}
 	switch status(header[0]) {
--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -22,6 +22,14 @@
 	assert.ErrorIs(t, err, ErrNoResponse)
 }
 
+// TestLongResponseIsNotUnsent: a response above the limit does not count as a message that was
+// too large to be sent.
+func TestLongResponseIsNotUnsent(t *testing.T) {
+	_, err := readResponse(bytes.NewReader(append([]byte{byte(statusOK)}, make([]byte, MaxMessage+1)...)), nil)
+	assert.ErrorIs(t, err, ErrNoResponse)
+	assert.Assert(t, !errors.Is(err, ErrTooLarge))
+}
+
 func FuzzReadRequest(f *testing.F) {
 	f.Add(append(appendRequestHeader(nil, KindSync, time.Second), "body"...))
 	f.Add([]byte{1, 2})
