A request is reported as not run only with a proof for each of its attempts

Whether a request may end as not run was decided by the absence of a doubt: a field that only one kind of failure set. Change: the attempts that may have reached a target are counted, and those that a target refused; not run needs both to be equal. Without a fault shown: by reading, no attempt was left out before. TestNotRunNeedsProofOfEachAttempt has each kind of result of an attempt, and responses of other hosts, as older builds send them.

--- a/internal/host/job.go
+++ b/internal/host/job.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -56,17 +57,18 @@
 	softDeadline time.Time
 	arrived      time.Time
 	// attempts counts the attempts that route.MaxAttempts limits, arrivals all that may
-	// have reached a target.
+	// have reached a target, refusals those of them that a target refused, so that they did
+	// not run.
 	attempts int
 	arrivals int
+	refusals int
 	tried    []place.Target
 	// serverError is a 5xx response of an earlier attempt.
 	serverError outcome.Result
 	// unsent counts the attempts that reached no target, misdirected those refused by a
 	// target that does not own the key.
 	unsent, misdirected int
-	// uncertainReason is why an earlier attempt may have run. Once set, the request can't end
-	// as not run.
+	// uncertainReason is why an earlier attempt may have run.
 	uncertainReason outcome.Reason
 	// parkedAt is the time since which the key has no owner, parked the last wait for
 	// one, and queued the total wait for slots.
@@ -151,8 +153,8 @@
 	return true
 }
 
-// finalResult corrects the result by earlier attempts. A request that may have run must
-// not be reported as not run, even if a later attempt was refused. A 5xx response of an
+// finalResult corrects the result by earlier attempts. A request is reported as not run only
+// if each attempt that may have reached a target was refused by it. A 5xx response of an
 // earlier attempt takes precedence over a failure without a response.
 func (j *job) finalResult(r outcome.Result) outcome.Result {
 	if response, ok := r.(outcome.Response); ok {
@@ -161,8 +163,8 @@
 	if j.serverError != nil {
 		return j.serverError
 	}
-	if _, ok := r.(outcome.NotRunFailure); ok && j.uncertainReason != "" {
-		return outcome.UnknownFailure{Reason: j.uncertainReason}
+	if _, ok := r.(outcome.NotRunFailure); ok && j.arrivals > j.refusals {
+		return outcome.UnknownFailure{Reason: cmp.Or(j.uncertainReason, outcome.AnswerBad)}
 	}
 	return r
 }
@@ -570,6 +572,7 @@
 }
 
 func (j *job) handleRefusal(t ticket, r forward.Refused) step {
+	j.refusals++
 	j.proof = proofOf(r)
 	if r.Refusal == target.RefusalOwner {
 		j.misdirected++
--- a/internal/host/proof_test.go
+++ b/internal/host/proof_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -10,6 +11,12 @@
 	"gotest.tools/v3/assert"
 
 	"citrontray.example/citrontray/internal/fake"
+	"citrontray.example/citrontray/internal/forward"
+	"citrontray.example/citrontray/internal/logging"
+	"citrontray.example/citrontray/internal/metric"
+	"citrontray.example/citrontray/internal/outcome"
+	"citrontray.example/citrontray/internal/target"
+	"citrontray.example/citrontray/internal/traffic"
 )
 
 // TestNotRunNamesItsProof: the line of a request that is reported as not run names the evidence.
@@ -111,3 +118,50 @@
 		}
 	}
 }
+
+// TestNotRunNeedsProofOfEachAttempt: one attempt that may have run is enough for a request not to
+// be reported as not run, whatever happened to the others.
+func TestNotRunNeedsProofOfEachAttempt(t *testing.T) {
+	t.Parallel()
+	var (
+		unsent    = forward.NotSent{Err: forward.ErrFull}
+		refused   = forward.Refused{Refusal: target.RefusalBusy, Status: http.StatusServiceUnavailable}
+		other     = forward.Refused{Refusal: target.RefusalOwner, Status: http.StatusMisdirectedRequest}
+		uncertain = forward.Uncertain{Reason: outcome.AnswerCut}
+		failed    = forward.Completed{Response: outcome.Response{Status: http.StatusInternalServerError}}
+		full      = forward.Completed{Response: outcome.Response{Status: http.StatusServiceUnavailable}}
+	)
+	tests := map[string]struct {
+		attempts   []forward.Result
+		idempotent bool
+		end        outcome.Result
+		want       outcome.Outcome
+	}{
+		"none":                       {nil, false, nil, outcome.NotRun},
+		"not sent":                   {[]forward.Result{unsent, unsent}, false, nil, outcome.NotRun},
+		"refused":                    {[]forward.Result{refused, unsent, other}, false, nil, outcome.NotRun},
+		"may have run, refused":      {[]forward.Result{uncertain, refused}, true, nil, outcome.Unknown},
+		"refused, may have run":      {[]forward.Result{refused, uncertain}, true, nil, outcome.Unknown},
+		"failed, refused":            {[]forward.Result{failed, refused}, true, nil, outcome.Done},
+		"unmarked, refused":          {[]forward.Result{full, refused}, true, nil, outcome.Done},
+		"unmarked":                   {[]forward.Result{full}, false, full.Response, outcome.Unknown},
+		"another host's 503":         {nil, false, full.Response, outcome.Unknown},
+		"another host's 503, read":   {nil, true, full.Response, outcome.Done},
+		"another host's 421":         {nil, false, outcome.Response{Status: http.StatusMisdirectedRequest}, outcome.Unknown},
+		"another host's other error": {nil, false, failed.Response, outcome.Done},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := &Host{log: logging.Nop(), metrics: newMetrics(metric.New("test"))}
+			j := &job{host: h, route: &traffic.Route{Idempotent: test.idempotent, MaxAttempts: 9}, service: &traffic.Service{Name: "s"}}
+			for _, a := range test.attempts {
+				j.handleAttempt(context.Background(), ticket{target: "t"}, a)
+			}
+			end := test.end
+			if end == nil {
+				end = outcome.NotRunFailure{Reason: outcome.Overload}
+			}
+			assert.Equal(t, outcome.Of(j.finalResult(end)), test.want)
+		})
+	}
+}
--- a/internal/host/relayer.go
+++ b/internal/host/relayer.go
@@ -329,6 +329,7 @@
 	j := &job{
 		host: h, route: route, service: service, arrived: now, config: v.routes.Config().Version, relayed: true, reservedBytes: int64(len(in.Body)),
 		deadline: now.Add(in.Timeout), softDeadline: now.Add(in.SoftTimeout), attempts: in.Attempts, arrivals: in.Arrivals,
+		refusals: in.Arrivals, // the passing host corrects the result by its own attempts
 	}
 	if service.KeySpace == traffic.Ranged {
 		j.point = in.Point
