The end of a connection is announced with its last response only

What callers could see: a client that sends requests ahead gets a response with Connection: close while one behind it runs. It counts that one as not read and sends it again, and its response then comes on a connection with no request waiting. Requests that are not idempotent never run beside others of their connection, so none of them could run twice. Evidence: TestCloseIsAnnouncedLast, new, fails on the code before. Change: the listener takes the header from the handler and sends it with the last response of the connection.

--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -47,7 +47,10 @@
 		x.closeAfter = true // the start of the next request is unknown
 	}
 	if x.header.Get("Connection") == "close" {
-		x.closeAfter = true // set by a handler to make the client connect to another host
+		// Set by a handler to make the client connect to another host. It is announced with
+		// the last response: a client counts what it sent behind the announcement as not read.
+		x.closeAfter = true
+		x.header.Del("Connection")
 	}
 	x.conn.mu.Lock()
 	x.answered = true
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -94,6 +94,8 @@
 			s.canceled.Add(1)
 			return
 		}
+	}
+	switch {
 	case strings.HasPrefix(r.URL.Path, "/elsewhere"):
 		w.Header()["Connection"] = []string{"close"}
 	case strings.HasPrefix(r.URL.Path, "/panic"):
@@ -437,6 +439,20 @@
 	c.expectClosed()
 }
 
+// TestCloseIsAnnouncedLast checks that no response announces the end of its connection while a
+// request behind it runs: its client would count that one as not read, and send it again.
+func TestCloseIsAnnouncedLast(t *testing.T) {
+	s := serve(t)
+	c := s.dial()
+	c.send(get("/elsewhere/wait") + get("/wait"))
+	s.expectStarted("/elsewhere/wait", "/wait")
+	close(s.gate("/elsewhere/wait"))
+	assert.Assert(t, !c.expectResponse(http.StatusOK, ""))
+	close(s.gate("/wait"))
+	assert.Assert(t, c.expectResponse(http.StatusOK, "GET /wait "))
+	c.expectClosed()
+}
+
 // streamPath is the path of the requests of streamRequests.
 const streamPath = "/x"
 
