A refusal that does not name its request is no proof for one that must not run twice

A target that writes it before it has read the request, for example as it accepts the connection, may run the request after that; its caller has a promise. Class: a refusal that is not proven to belong to the attempt. Protocol: servers echo the request's ID in their responses. An idempotent request still takes such a refusal: it may run twice. Evidence: TestRefusalBeforeTheRequest, new: without the change both cases are refused, and the request runs. Change: forward.Request.AtMostOnce, set for routes that are not idempotent; such a response is answer-wrong, and unknown.

--- a/internal/forward/repeated_test.go
+++ b/internal/forward/repeated_test.go
@@ -12,8 +12,10 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"citrontray.example/citrontray/internal/forward"
+	"citrontray.example/citrontray/internal/outcome"
 	"citrontray.example/citrontray/internal/target"
 )
 
@@ -109,3 +111,36 @@
 	assert.Equal(t, int(conns.Load()), 10)
 	assert.Equal(t, p.Open(), 4) // as many as may be
 }
+
+// TestRefusalBeforeTheRequest: a refusal that a target writes on a new connection before it has
+// read the request, which it then runs, does not count for a request that must not run twice.
+func TestRefusalBeforeTheRequest(t *testing.T) {
+	for name, head := range map[string]string{
+		"marked":      "HTTP/1.1 503 Full\r\nCitrontray-Not-Run: busy\r\nContent-Length: 0\r\n\r\n",
+		"misdirected": "HTTP/1.1 421 Other\r\nCitrontray-Target: t-2\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var ran atomic.Int32
+			p := listenTo(t, func(c net.Conn) {
+				defer func() { _ = c.Close() }()
+				_, _ = io.WriteString(c, head)
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					ran.Add(1)
+				}
+			})
+			r := unshardedRequest("r-1")
+			r.AtMostOnce = true
+			result := p.Do(context.Background(), r, time.Now())
+			uncertain, ok := result.(forward.Uncertain)
+			assert.Assert(t, ok, "%#v", result)
+			assert.Equal(t, uncertain.Reason, outcome.AnswerWrong)
+			assert.Equal(t, p.Open(), 0)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if ran.Load() == 1 {
+					return poll.Success()
+				}
+				return poll.Continue("the request has not run")
+			})
+		})
+	}
+}
--- a/internal/forward/result.go
+++ b/internal/forward/result.go
@@ -40,6 +40,8 @@
 	// NotAfter is the time from which the request is no longer sent, also if connecting
 	// took until then; zero stands for no limit.
 	NotAfter time.Time
+	// AtMostOnce is set if the request must not run twice. A refusal then has to name it.
+	AtMostOnce bool
 	// HeaderNames is set for targets without shards. Service, Shard and Epoch are not
 	// sent to them.
 	HeaderNames *target.HeaderNames
--- a/internal/forward/unsharded.go
+++ b/internal/forward/unsharded.go
@@ -73,8 +73,9 @@
 }
 
 // readUnsharded reads the response to r, which carries its id. A refusal without an id
-// is accepted only on a connection without earlier requests; otherwise it could be a
-// duplicate of an earlier refusal. Late responses to earlier requests, which carry other
+// is accepted only if the request may run twice, as the target may have written it before it
+// read the request, and only on a connection without earlier requests; otherwise it could be
+// a duplicate of an earlier refusal. Late responses to earlier requests, which carry other
 // ids, are skipped, and the connection is not used again after one.
 func (c *conn) readUnsharded(r *Request) Result {
 	skipped := 0
@@ -85,7 +86,8 @@
 			return uncertain(outcome.AnswerCut, err)
 		}
 		ids := resp.Header[http.CanonicalHeaderKey(r.HeaderNames.Request)]
-		if len(ids) == 1 && ids[0] == r.ID || len(ids) == 0 && c.idleSince.IsZero() && refused(resp, r.HeaderNames) {
+		named := len(ids) == 1 && ids[0] == r.ID
+		if named || len(ids) == 0 && !r.AtMostOnce && c.idleSince.IsZero() && refused(resp, r.HeaderNames) {
 			return c.finishUnsharded(resp, r, skipped > 0)
 		}
 		if skipped++; len(ids) != 1 || skipped > maxStaleResponses || !framed(resp) {
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -108,6 +108,7 @@
 	j.request = forward.Request{
 		ID: id, Method: r.Method, URI: r.RequestURI, Header: header, Body: content,
 		Deadline: j.deadline, MaxBody: maxBodyBytes, HeaderNames: h.names, Host: r.Host, Reserve: j.reserveMemory,
+		AtMostOnce: !route.Idempotent,
 	}
 	j.fingerprint = h.quarantine.fingerprint(&j.request, header.Get(h.names.Key))
 	return j, nil
--- a/internal/host/relayer.go
+++ b/internal/host/relayer.go
@@ -337,6 +337,7 @@
 	j.request = forward.Request{
 		ID: in.ID, Method: in.Method, URI: in.URI, Header: in.Header, Body: in.Body,
 		Deadline: j.deadline, MaxBody: maxBodyBytes, HeaderNames: h.names, Host: in.Host, Reserve: j.reserveMemory,
+		AtMostOnce: !route.Idempotent,
 	}
 	j.fingerprint = h.quarantine.fingerprint(&j.request, in.Header.Get(h.names.Key))
 	return j, nil
