The rest of a body that was not read is never taken for a request

Cause: exchange.run let the connection's reader go on before it marked the connection as closing. The reader took the body for the head of a request, and rejected it behind a response that then did not announce the end. The body could not run as a request: none is accepted beside one with a body, and by then the connection is closing. Change: the connection is marked as closing first.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -114,13 +114,14 @@
 // Close implements io.Closer. It does nothing, since the connection ends the body.
 func (b *body) Close() error { return nil }
 
-// finish ends the body after the handler has returned. It reports whether the body was
-// read to its end, so that the next request can be read.
-func (b *body) finish() bool {
+// complete reports whether the body was read to its end, so that the next request can be read.
+func (b *body) complete() bool { return errors.Is(b.err, io.EOF) }
+
+// finish ends the body after the handler has returned: the connection's reader continues.
+func (b *body) finish() {
 	if b.err == nil {
 		b.end(errors.New("ingress: body was not read"))
 	}
-	return errors.Is(b.err, io.EOF)
 }
 
 // skipTrailer reads the trailer after the last chunk, up to the empty line.
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -43,7 +43,7 @@
 func (x *exchange) run() {
 	defer x.conn.work.Done()
 	x.handle()
-	if x.body != nil && !x.body.finish() {
+	if x.body != nil && !x.body.complete() {
 		x.closeAfter = true // the start of the next request is unknown
 	}
 	if x.header.Get("Connection") == "close" {
@@ -56,6 +56,10 @@
 	x.answered = true
 	x.conn.closing = x.conn.closing || x.closeAfter
 	x.conn.mu.Unlock()
+	if x.body != nil {
+		// Only now: the reader must not take the rest of an unread body for a request.
+		x.body.finish()
+	}
 	x.conn.flush()
 }
 
