A client that has ended its sending side gets the response to a request that can't be canceled

What callers could see: a client sends a request that is not idempotent, ends its sending side and waits; the request runs, and the connection closes without a response. Cause: the end of the client's bytes was taken for the end of the connection, which was closed at once though the request ran on. No promise is made, so it is no case of REFUSED. Evidence: TestHalfClosedClientGetsResponse fails on the code before (unexpected EOF). Change: after the end of the client's bytes requests are canceled as before, and those that run on have their response written. Where the connection has failed, nothing is awaited.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -303,16 +303,20 @@
 }
 
 // drain waits until all accepted requests have their response, and reports whether the
-// client may still be reading. If the client has disconnected, drain cancels its
-// requests instead.
+// client may still be reading. If the connection has failed, drain does not wait. If the
+// client has ended its sending side, it has most likely closed the connection: drain cancels
+// its requests, but those that can't be canceled run on, and their responses are written.
 func (c *conn) drain(err error) bool {
 	var malformed *requestError
-	disconnected := err != nil && !errors.As(err, &malformed) && !errors.Is(err, errIdle)
+	ended := errors.Is(err, io.EOF)
+	failed := err != nil && !ended && !errors.As(err, &malformed) && !errors.Is(err, errIdle)
 	c.mu.Lock()
 	c.closing, c.reading = true, false
 	c.mu.Unlock()
-	if disconnected {
+	if ended || failed {
 		c.cancel()
+	}
+	if failed {
 		return false
 	}
 	c.work.Wait()
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -87,6 +87,8 @@
 		return
 	}
 	switch {
+	case strings.HasPrefix(r.URL.Path, "/alone/run/wait"):
+		<-s.gate(r.URL.Path) // can't be canceled
 	case strings.Contains(r.URL.Path, "/wait"):
 		select {
 		case <-s.gate(r.URL.Path):
@@ -453,6 +455,19 @@
 	c.expectClosed()
 }
 
+// TestHalfClosedClientGetsResponse: a client that ends its sending side after a request that runs
+// gets its response.
+func TestHalfClosedClientGetsResponse(t *testing.T) {
+	s := serve(t)
+	c := s.dial()
+	c.send(post("/alone/run/wait", "x"))
+	s.expectStarted("/alone/run/wait")
+	assert.NilError(t, c.Conn.(*net.TCPConn).CloseWrite())
+	time.Sleep(shortWait)
+	close(s.gate("/alone/run/wait"))
+	c.expectResponse(http.StatusOK, "POST /alone/run/wait x")
+}
+
 // streamPath is the path of the requests of streamRequests.
 const streamPath = "/x"
 
