--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -156,10 +156,5 @@
 	if handler == nil || !maySend(from.Role, req.kind) {
 		return nil, ErrRefused
 	}
-	body, err := handler(ctx, from, req.body)
-	if errors.Is(err, ErrRefused) {
-		// A call of the handler was refused; the message itself was handled.
-		return nil, errors.New(err.Error())
-	}
-	return body, err
+	return handler(ctx, from, req.body)
 }
