--- a/internal/host/path_test.go
+++ b/internal/host/path_test.go
@@ -216,9 +216,10 @@
 	point := key.Point(0)
 	for end := time.Now().Add(span); time.Now().Before(end); <-ticker.C {
 		point += 4099 // spreads over all ranges
+		p := point % key.Points
 		for _, h := range l.hosts {
 			for path, method := range map[string]string{"/keys/x": http.MethodGet, "/free/x": http.MethodPost} {
-				clients.Go(func() { l.add(h, path, l.send(h, method, path, point%key.Points)) })
+				clients.Go(func() { l.add(h, path, l.send(h, method, path, p)) })
 			}
 		}
 	}
