A ticket is for one process of a host, and for a target of the request's service

Cause: tickets were numbered from 1 in each process, and a home's reply names neither the process nor the pool. A reply to a process that was killed, late on its way, was taken by the next process of the host for its own request of that number; nothing compared the target with the request's service, and the request names that target as the one expected. How often it happens by itself is not known: a process has to end early, and its reply to come late. Change: tickets are numbered from the process's start in nanoseconds. A slot of a target that is listed for another service, or that is not the owner of the key, is returned.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -105,10 +105,13 @@
 	since time.Time
 }
 
-// NewClient returns a client without tickets.
-func NewClient(homes Homes) *Client {
+// NewClient returns a client without tickets for an incarnation of a host, which is the
+// nanosecond of its start. Tickets are numbered from there on, so that no two incarnations
+// have one with the same number: a reply to an earlier incarnation may arrive at this one.
+func NewClient(homes Homes, self place.Incarnation) *Client {
 	return &Client{
 		homes:         homes,
+		lastID:        TicketID(self),
 		pending:       make(map[TicketID]*pendingAcquire),
 		held:          make(map[TicketID]*heldTicket),
 		suspects:      make(map[place.Host]*suspect),
--- a/internal/dispatch/cluster_test.go
+++ b/internal/dispatch/cluster_test.go
@@ -132,7 +132,7 @@
 func (h *clusterHost) boot() {
 	h.incarnation++
 	h.up, h.bootedAt = true, h.now
-	h.client, h.home, h.pending = NewClient(h), NewHome(h), make(map[TicketID]func(time.Time, Message))
+	h.client, h.home, h.pending = NewClient(h, h.incarnation), NewHome(h), make(map[TicketID]func(time.Time, Message))
 	h.table = quarantine.New(testHold)
 	if h.suspects != nil {
 		h.suspects.started(h)
--- a/internal/dispatch/codec_test.go
+++ b/internal/dispatch/codec_test.go
@@ -48,7 +48,7 @@
 		if err != nil {
 			return
 		}
-		home, client := NewHome(oneTarget{}), NewClient(oneTarget{})
+		home, client := NewHome(oneTarget{}), NewClient(oneTarget{}, 1)
 		now := time.Unix(1000, 0)
 		for range 2 {
 			home.Handle(now, from, m)
--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -229,7 +229,7 @@
 func TestRefusedAgain(t *testing.T) {
 	now := time.Unix(1000, 0)
 	pool, self := PoolID{Service: "s", Target: "t"}, Peer{Host: "self", Incarnation: 1}
-	home, client := NewHome(oneTarget{}), NewClient(oneTarget{})
+	home, client := NewHome(oneTarget{}), NewClient(oneTarget{}, 1)
 	home.Handle(now, self, Limited{Pool: pool, Target: "t", Limit: target.RateLimit{Rate: 0}})
 	client.Acquire(now, Acquire{Pool: pool, Timeout: 100 * time.Millisecond, SoftTimeout: 100 * time.Millisecond})
 	sent, _ := client.Flush()
--- a/internal/dispatch/observedlimit_test.go
+++ b/internal/dispatch/observedlimit_test.go
@@ -36,7 +36,7 @@
 		"incarnation advertises again": {{1, 0, 1, five, true}, {3, 2, 2, five, true}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			o, start := NewClient(oneTarget{}), time.Unix(1000, 0)
+			o, start := NewClient(oneTarget{}, 1), time.Unix(1000, 0)
 			for i, r := range responses {
 				row := place.TargetRow{Target: "a", Incarnation: r.inc}
 				changed := o.RecordLimit(start.Add(r.at*unit), start.Add(r.sentAt*unit), PoolID{}, row, r.limit)
@@ -55,7 +55,7 @@
 	now := time.Unix(1000, 0)
 	pool := PoolID{Service: "s", Target: "a"}
 	homes := &changingHome{home: "h1"}
-	c := NewClient(homes)
+	c := NewClient(homes, 1)
 	row := place.TargetRow{Target: "a", Incarnation: 1}
 	respond := func(limit target.Limit) {
 		c.Flush()
--- a/internal/dispatch/simulate_test.go
+++ b/internal/dispatch/simulate_test.go
@@ -175,7 +175,7 @@
 	}
 	s.home = NewHome(s)
 	for range cfg.hosts {
-		s.clients = append(s.clients, NewClient(s))
+		s.clients = append(s.clients, NewClient(s, 1))
 		s.replyHandlers = append(s.replyHandlers, make(map[TicketID]func(time.Time, Message)))
 	}
 	return s
--- a/internal/host/backoff.go
+++ b/internal/host/backoff.go
@@ -84,13 +84,16 @@
 }
 
 // checkSlot returns the step to take instead of using a slot of a target that is
-// leaving or paused, nil if the slot may be used.
+// leaving or paused, or not one for this request, nil if the slot may be used.
 func (j *job) checkSlot(m dispatch.Assigned, owner place.Target) step {
 	now, v := time.Now(), j.host.views.view()
+	row, listed := v.targets[m.Target]
+	if owner != "" && m.Target != owner || listed && row.Service != string(j.service.Name) {
+		return retryStep{}
+	}
 	if owner != "" {
 		return j.checkBackoff(now, v, m.Target)
 	}
-	row := v.targets[m.Target]
 	leaving, pause := j.host.dispatcher.backoff(now, row)
 	lost := j.host.paths.lost(v, m.Target)
 	switch {
--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -80,7 +80,7 @@
 func newDispatcher(self dispatch.Peer, conn *net.UDPConn, log *slog.Logger, homes dispatch.Homes) *dispatcher {
 	d := &dispatcher{
 		self: self, startedAt: time.Now(), log: log, conn: conn, timer: time.NewTimer(maxTickInterval),
-		client:  dispatch.NewClient(homes),
+		client:  dispatch.NewClient(homes, self.Incarnation),
 		pending: make(map[dispatch.TicketID]chan ticketReply),
 
 		observedAddrs: make(map[place.Host]netip.AddrPort),
--- a/internal/host/job.go
+++ b/internal/host/job.go
@@ -336,7 +336,7 @@
 	case dispatch.Assigned:
 		if s := j.checkSlot(m, owner); s != nil {
 			// This host may know more recent state than the home.
-			j.host.log.Info("Slot not used, target is leaving or paused.", slog.String("request", j.request.ID),
+			j.host.log.Info("Slot not used, target is leaving, paused or not one for the request.", slog.String("request", j.request.ID),
 				slog.String("target", string(m.Target)), slog.String("home", string(end.home)), slog.Uint64("ticket", uint64(id)))
 			return j.returnTicket(id, m), s
 		}
