A ticket message with more fields than a host knows is not refused

Same cause as in relayed requests: a message with an added field was refused as a whole, so hosts of two builds could not exchange tickets.

Change: decoded by package compat. An unknown kind is still refused.

--- a/internal/dispatch/codec.go
+++ b/internal/dispatch/codec.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"citrontray.example/citrontray/internal/compat"
 	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/quarantine"
@@ -142,7 +143,7 @@
 // Decode decodes a datagram that Encode returned.
 func Decode(body []byte) (Peer, Message, error) {
 	var w wireMessage
-	if err := cbor.Unmarshal(body, &w); err != nil {
+	if err := compat.Unmarshal(body, &w); err != nil {
 		return Peer{}, nil, fmt.Errorf("dispatch: decode: %w", err)
 	}
 	from := Peer{Host: place.Host(w.Host), Incarnation: place.Incarnation(w.Incarnation), Zone: place.Zone(w.Zone)}
--- a/internal/dispatch/codec_test.go
+++ b/internal/dispatch/codec_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"citrontray.example/citrontray/internal/compat/compattest"
 	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/target"
 )
@@ -22,6 +23,7 @@
 
 // FuzzMessage checks that no datagram makes the decoder, a home or a client panic.
 func FuzzMessage(f *testing.F) {
+	compattest.AddSeeds(f)
 	pool := PoolID{Service: "s", Zone: "z", Target: "t"}
 	for _, m := range []Message{
 		Acquire{ID: 1, Pool: pool, Class: "c", Timeout: time.Second, SoftTimeout: time.Second, Excluded: nil},
