A message of document replication with more fields than a host knows is not refused

Same cause as in relayed requests: documents could not be replicated from a build that adds a field to a header, a document, a poll or a row of the fleet.

Change: decoded by package compat, within the limits that were set before. An unknown request or encoding is still refused.

--- a/internal/docsync/wire.go
+++ b/internal/docsync/wire.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"citrontray.example/citrontray/internal/compat"
 )
 
 // ErrMalformed is returned for a message that can't be decoded.
@@ -101,19 +103,11 @@
 	Resend  []string     `cbor:"5,keyasint,omitempty"`
 }
 
-var wireDecoder = mustDecoder()
-
-func mustDecoder() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		MaxArrayElements: maxWireElements,
-		MaxMapPairs:      maxWireElements,
-		MaxNestedLevels:  maxWireNesting,
-	}.DecMode()
-	if err != nil {
-		panic(err) // the options are constant
-	}
-	return mode
-}
+var wireDecoder = compat.NewDecoder(cbor.DecOptions{
+	MaxArrayElements: maxWireElements,
+	MaxMapPairs:      maxWireElements,
+	MaxNestedLevels:  maxWireNesting,
+})
 
 func encodeRequest(req request) ([]byte, error) {
 	var w wireRequest
--- a/internal/docsync/wire_test.go
+++ b/internal/docsync/wire_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"citrontray.example/citrontray/internal/compat/compattest"
 	"citrontray.example/citrontray/internal/peer"
 )
 
@@ -39,6 +40,7 @@
 }
 
 func FuzzDecodeRequest(f *testing.F) {
+	compattest.AddSeeds(f)
 	for _, req := range sampleRequests(f) {
 		data, err := encodeRequest(req)
 		assert.NilError(f, err)
@@ -70,6 +72,7 @@
 }
 
 func FuzzDecodeResponses(f *testing.F) {
+	compattest.AddSeeds(f)
 	data, err := encodePollResponse(pollResponse{replica: 1, cursor: 2, newer: []header{{name: "a"}}})
 	assert.NilError(f, err)
 	f.Add(data)
