--- a/internal/owner/codec_test.go
+++ b/internal/owner/codec_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 	"gotest.tools/v3/assert"
 
+	"citrontray.example/citrontray/internal/compat/compattest"
 	"citrontray.example/citrontray/internal/key"
 )
 
@@ -38,6 +39,7 @@
 // FuzzTable: no input makes the decoder panic, and a decoded table covers each key at
 // most once.
 func FuzzTable(f *testing.F) {
+	compattest.AddSeeds(f)
 	body, err := codecTable().Encode()
 	assert.NilError(f, err)
 	f.Add(body)
@@ -59,6 +61,7 @@
 // FuzzDoc: no input makes the decoder panic, and a decoded document covers every key
 // exactly once.
 func FuzzDoc(f *testing.F) {
+	compattest.AddSeeds(f)
 	doc := EmptyDoc("s")
 	doc.Rows[0].Target, doc.Rows[0].Addr = "a", netip.MustParseAddrPort("10.0.0.1:80")
 	body, err := doc.Encode()
--- a/internal/owner/doc.go
+++ b/internal/owner/doc.go
@@ -15,6 +15,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"citrontray.example/citrontray/internal/compat"
 	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/platform"
@@ -143,7 +144,7 @@
 // error.
 func DecodeDoc(body []byte) (Doc, error) {
 	var w wireDoc
-	if err := cbor.Unmarshal(body, &w); err != nil {
+	if err := compat.Unmarshal(body, &w); err != nil {
 		return Doc{}, fmt.Errorf("owner: decode document: %w", err)
 	}
 	d := Doc{
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"citrontray.example/citrontray/internal/compat"
 	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/platform"
@@ -143,7 +144,7 @@
 // DecodeTable reads a table that Encode wrote.
 func DecodeTable(body []byte) (*Table, error) {
 	var w wireTable
-	if err := cbor.Unmarshal(body, &w); err != nil {
+	if err := compat.Unmarshal(body, &w); err != nil {
 		return nil, fmt.Errorf("owner: decode table: %w", err)
 	}
 	t := &Table{
