A list of targets with more fields than a host knows is not refused

Same cause as in relayed requests: a target with an added field made older hosts refuse the list and keep the last one.

Change: decoded by package compat.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -12,6 +12,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"citrontray.example/citrontray/internal/compat"
 	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/platform"
 )
@@ -64,7 +65,7 @@
 // Decode reads a list that Encode wrote.
 func Decode(body []byte) (List, error) {
 	var w wireList
-	if err := cbor.Unmarshal(body, &w); err != nil {
+	if err := compat.Unmarshal(body, &w); err != nil {
 		return List{}, fmt.Errorf("fleet: decode list: %w", err)
 	}
 	l := List{RecentOutage: w.RecentOutage, StoreStable: w.StoreStable}
