Records of quarantined requests with more fields than a host knows are not refused

Same cause as in relayed requests: a record with an added field made older hosts leave out all records of the document.

Change: decoded by package compat.

--- a/internal/quarantine/codec.go
+++ b/internal/quarantine/codec.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"citrontray.example/citrontray/internal/compat"
 	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/place"
 )
@@ -50,7 +51,7 @@
 // Decode reads records that Encode wrote. It leaves out what no host can have written.
 func Decode(body []byte) ([]Record, error) {
 	var w []wireRecord
-	if err := cbor.Unmarshal(body, &w); err != nil {
+	if err := compat.Unmarshal(body, &w); err != nil {
 		return nil, fmt.Errorf("quarantine: decode: %w", err)
 	}
 	out := make([]Record, 0, min(len(w), maxRecords))
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"citrontray.example/citrontray/internal/compat/compattest"
 	"citrontray.example/citrontray/internal/place"
 )
 
@@ -171,6 +172,7 @@
 
 // FuzzDecode: no document makes the decoder panic, and what it returns is within bounds.
 func FuzzDecode(f *testing.F) {
+	compattest.AddSeeds(f)
 	body, err := Encode([]Record{{Fingerprint: 1, Suspicion: Suspicion{Ends: 3}, Service: "s", Last: []End{{Target: "a"}}}})
 	assert.NilError(f, err)
 	f.Add(body)
