--- a/internal/host/codec_test.go
+++ b/internal/host/codec_test.go
@@ -6,14 +6,16 @@
 
 	"gotest.tools/v3/assert"
 
+	"citrontray.example/citrontray/internal/compat/compattest"
 	"citrontray.example/citrontray/internal/dispatch"
 	"citrontray.example/citrontray/internal/key"
 )
 
-// FuzzDatagram checks that no datagram makes the decoders of load reports and notices
-// panic. Ticket messages and heartbeats have fuzz tests in the packages that decode
+// FuzzDatagram checks that no datagram makes the decoders of load reports, notices and
+// documents about requests panic. Ticket messages and heartbeats have fuzz tests in the packages that decode
 // them.
 func FuzzDatagram(f *testing.F) {
+	compattest.AddSeeds(f)
 	report := loadReport{service: "s", points: map[key.Point]int{5: 2}, targets: []dispatch.TargetStats{{Target: "t", Mean: time.Second, Slowdown: 1, Used: true, Samples: 9}}}
 	body, err := report.encode()
 	assert.NilError(f, err)
@@ -27,5 +29,6 @@
 		// Decode errors are fine: the caller logs them and drops the datagram.
 		_, _ = decodeReport(body)
 		_, _ = decodeNotice(body)
+		_, _ = decodeRequests(body)
 	})
 }
--- a/internal/host/digest.go
+++ b/internal/host/digest.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"citrontray.example/citrontray/internal/compat"
 	"citrontray.example/citrontray/internal/docsync"
 	"citrontray.example/citrontray/internal/place"
 )
@@ -47,7 +48,7 @@
 // handleDigest handles the digest of another watcher.
 func (h *Host) handleDigest(body []byte) {
 	var w wireDigest
-	if err := cbor.Unmarshal(body, &w); err != nil {
+	if err := compat.Unmarshal(body, &w); err != nil {
 		h.log.Warn("Digest not decodable, dropped.", slog.Any("error", err))
 		return
 	}
--- a/internal/host/loadreport.go
+++ b/internal/host/loadreport.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"citrontray.example/citrontray/internal/compat"
 	"citrontray.example/citrontray/internal/dispatch"
 	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/place"
@@ -108,7 +109,7 @@
 
 func decodeReport(body []byte) (loadReport, error) {
 	var w wireReport
-	if err := cbor.Unmarshal(body, &w); err != nil {
+	if err := compat.Unmarshal(body, &w); err != nil {
 		return loadReport{}, err
 	}
 	r := loadReport{service: key.Service(w.Service), points: make(map[key.Point]int)}
--- a/internal/host/notice.go
+++ b/internal/host/notice.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"citrontray.example/citrontray/internal/compat"
 	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/owner"
 	"citrontray.example/citrontray/internal/place"
@@ -50,7 +51,7 @@
 
 func decodeNotice(body []byte) (notice, error) {
 	var w wireNotice
-	if err := cbor.Unmarshal(body, &w); err != nil {
+	if err := compat.Unmarshal(body, &w); err != nil {
 		return notice{}, err
 	}
 	return notice{
--- a/internal/host/quarantine.go
+++ b/internal/host/quarantine.go
@@ -13,6 +13,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"citrontray.example/citrontray/internal/compat"
 	"citrontray.example/citrontray/internal/dispatch"
 	"citrontray.example/citrontray/internal/docsync"
 	"citrontray.example/citrontray/internal/forward"
@@ -97,6 +98,12 @@
 	return cbor.Marshal(w)
 }
 
+func decodeRequests(body []byte) (wireRequests, error) {
+	var w wireRequests
+	err := compat.Unmarshal(body, &w)
+	return w, err
+}
+
 // loop applies the documents about requests until ctx ends.
 func (q *quarantiner) loop(ctx context.Context) error {
 	requests, suspects := q.host.replica.Subscribe(docRequests), q.host.replica.Subscribe(docSuspects)
@@ -124,8 +131,8 @@
 		q.merge(now, doc.Name, doc.Body, q.table.Merge)
 		return
 	}
-	var w wireRequests
-	if err := cbor.Unmarshal(doc.Body, &w); err != nil {
+	w, err := decodeRequests(doc.Body)
+	if err != nil {
 		q.host.log.Warn("Document about requests not decodable, keeping the last one.", slog.Any("error", err))
 		return
 	}
