--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/compat/compattest"
 )
 
 func TestResponsesRoundTrip(t *testing.T) {
@@ -31,6 +33,7 @@
 }
 
 func FuzzReadRequest(f *testing.F) {
+	compattest.AddSeeds(f)
 	f.Add(append(appendRequestHeader(nil, KindSync, time.Second), "body"...))
 	f.Add([]byte{1, 2})
 	f.Fuzz(func(t *testing.T, data []byte) {
@@ -44,6 +47,7 @@
 }
 
 func FuzzReadResponse(f *testing.F) {
+	compattest.AddSeeds(f)
 	f.Add(encodeResponse([]byte("yes"), nil))
 	f.Add(encodeResponse(nil, errors.New("no")))
 	f.Fuzz(func(t *testing.T, data []byte) {
