A dropped datagram is logged with its sender and kind

Change: the handlers of datagrams return the error and the dispatcher logs it, with sender and kind; the rate limit of each message in the log bounds the lines. The tests of digests now also check that there is no error.

--- a/internal/host/digest.go
+++ b/internal/host/digest.go
@@ -46,15 +46,15 @@
 }
 
 // handleDigest handles the digest of another watcher.
-func (h *Host) handleDigest(body []byte) {
+func (h *Host) handleDigest(body []byte) error {
 	var w wireDigest
 	if err := compat.Unmarshal(body, &w); err != nil {
-		h.log.Warn("Digest not decodable, dropped.", slog.Any("error", err))
-		return
+		return err
 	}
 	d := digest{receivedAt: time.Now(), versions: make(map[docsync.Name]uint64, len(w.Versions))}
 	for name, version := range w.Versions {
 		d.versions[docsync.Name(name)] = version
 	}
 	h.watcher.receive(d)
+	return nil
 }
--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,8 +44,9 @@
 	address func(place.Host) (netip.AddrPort, bool)
 	// guard runs f and reports whether it returned without a panic.
 	guard func(part string, f func()) bool
-	// handlers handle the datagrams other than ticket messages, by their first byte.
-	handlers map[byte]func(body []byte)
+	// handlers handle the datagrams other than ticket messages, by their first byte. They
+	// return an error for one that is not decodable.
+	handlers map[byte]func(body []byte) error
 
 	// timer fires at the next tick. It is reset whenever pending work changes, so that
 	// the process sleeps while there is none.
@@ -177,20 +179,32 @@
 	if len(body) < 2 {
 		return
 	}
-	if other := d.handlers[body[0]]; other != nil {
-		other(body[1:])
-		return
+	if err := d.decodeDatagram(now, source, body[0], body[1:]); err != nil {
+		d.log.Warn("Datagram not decodable, dropped.", slog.String("from", source.String()),
+			slog.String("kind", strconv.QuoteRuneToASCII(rune(body[0]))), slog.Any("error", err))
 	}
-	from, m, err := dispatch.Decode(body[1:])
-	if body[0] != datagramTicket || err != nil {
-		d.log.Warn("Datagram not decodable, dropped.", slog.Any("error", err))
-		return
+}
+
+var errUnknownDatagram = errors.New("unknown kind of datagram")
+
+// decodeDatagram decodes a datagram and handles it.
+func (d *dispatcher) decodeDatagram(now time.Time, source netip.AddrPort, kind byte, body []byte) error {
+	if other := d.handlers[kind]; other != nil {
+		return other(body)
+	}
+	if kind != datagramTicket {
+		return errUnknownDatagram
+	}
+	from, m, err := dispatch.Decode(body)
+	if err != nil {
+		return err
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.observedAddrs[from.Host] = source
 	d.reach.RecordMessage(now, from.Zone)
 	d.handleMessage(now, from, m)
+	return nil
 }
 
 // handleMessage handles one message. The caller holds mu.
--- a/internal/host/golden_test.go
+++ b/internal/host/golden_test.go
@@ -102,7 +102,7 @@
 				log: logging.Nop(), dispatcher: &dispatcher{conn: conn}, watcher: &watcher{},
 				views: &viewBuilder{current: &view{members: member.List{Hosts: []member.Host{other}}}},
 			}
-			h.handleDigest(datagram[1:])
+			assert.NilError(t, h.handleDigest(datagram[1:]))
 			assert.DeepEqual(t, h.watcher.peerDigest.versions, test.want)
 
 			h.broadcastDigest(digest{versions: test.want})
@@ -117,7 +117,7 @@
 			}
 			assert.Equal(t, again[0], datagram[0])
 			h.watcher.receive(digest{})
-			h.handleDigest(again[1:])
+			assert.NilError(t, h.handleDigest(again[1:]))
 			assert.DeepEqual(t, h.watcher.peerDigest.versions, test.want)
 		})
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -139,6 +139,14 @@
 	}
 }
 
+// datagramHandlers returns the handlers of datagrams other than ticket messages.
+func (h *Host) datagramHandlers() map[byte]func([]byte) error {
+	return map[byte]func([]byte) error{
+		datagramReport: h.handleReport, datagramNotice: h.handleNotice, datagramDigest: h.handleDigest, datagramHeartbeat: h.handleHeartbeat,
+		datagramConfirmation: h.handleConfirmation,
+	}
+}
+
 func (h *Host) openSockets() error {
 	link, err := peer.New(peer.Config{Listen: h.site.Peer, Credentials: h.env.Credentials, Log: h.log})
 	if err != nil {
@@ -155,10 +163,7 @@
 	h.dispatcher = newDispatcher(self, conn, h.log, h)
 	h.dispatcher.guard = h.guard
 	h.dispatcher.address = h.ticketAddress
-	h.dispatcher.handlers = map[byte]func([]byte){
-		datagramReport: h.handleReport, datagramNotice: h.handleNotice, datagramDigest: h.handleDigest, datagramHeartbeat: h.handleHeartbeat,
-		datagramConfirmation: h.handleConfirmation,
-	}
+	h.dispatcher.handlers = h.datagramHandlers()
 	h.dispatcher.view = h.views.view
 	h.dispatcher.onLimited = h.handleLimited
 	h.dispatcher.onResent = h.metrics.countResent
--- a/internal/host/loadreport.go
+++ b/internal/host/loadreport.go
@@ -205,13 +205,13 @@
 }
 
 // handleReport handles a load report of another host.
-func (h *Host) handleReport(body []byte) {
+func (h *Host) handleReport(body []byte) error {
 	r, err := decodeReport(body)
 	if err != nil {
-		h.log.Warn("Load report not decodable, dropped.", slog.Any("error", err))
-		return
+		return err
 	}
 	h.deliverReport(r)
+	return nil
 }
 
 func (h *Host) deliverReport(r loadReport) {
--- a/internal/host/notice.go
+++ b/internal/host/notice.go
@@ -61,11 +61,10 @@
 }
 
 // handleNotice handles a notice of another host.
-func (h *Host) handleNotice(body []byte) {
+func (h *Host) handleNotice(body []byte) error {
 	n, err := decodeNotice(body)
 	if err != nil {
-		h.log.Warn("Notice not decodable, dropped.", slog.Any("error", err))
-		return
+		return err
 	}
 	h.mu.Lock()
 	c := h.controllers[n.service]
@@ -73,6 +72,7 @@
 	if c != nil {
 		c.tryPost(func(now time.Time) { c.handleNotice(now, n) })
 	}
+	return nil
 }
 
 // sendNotice sends a notice to a host.
--- a/internal/host/panic_test.go
+++ b/internal/host/panic_test.go
@@ -55,7 +55,7 @@
 		defer func() { _ = recover() }()
 		f()
 		return true
-	}, handlers: map[byte]func([]byte){datagramDigest: func([]byte) {}, datagramNotice: func([]byte) { panic("test panic") }}}
+	}, handlers: map[byte]func([]byte) error{datagramDigest: func([]byte) error { return nil }, datagramNotice: func([]byte) error { panic("test panic") }}}
 	d.handleGuarded(time.Now(), netip.AddrPort{}, []byte{datagramDigest, 0})
 	assert.Assert(t, d.home == nil)
 	d.handleGuarded(time.Now(), netip.AddrPort{}, []byte{datagramNotice, 0})
--- a/internal/host/recorded_test.go
+++ b/internal/host/recorded_test.go
@@ -46,7 +46,7 @@
 func TestRecordedDigest(t *testing.T) {
 	compattest.Check(t, map[string]any{"digest": wireDigest{}}, func(t *testing.T, _ string, body []byte) {
 		h := &Host{log: logging.Nop(), watcher: &watcher{}}
-		h.handleDigest(body)
+		assert.NilError(t, h.handleDigest(body))
 		assert.DeepEqual(t, h.watcher.peerDigest.versions, map[docsync.Name]uint64{docTargets: 300, docOwners + "svc": 1 << 40})
 	})
 }
--- a/internal/host/registrar.go
+++ b/internal/host/registrar.go
@@ -103,25 +103,25 @@
 }
 
 // handleConfirmation handles the response of a registrar to a heartbeat of this host.
-func (h *Host) handleConfirmation(body []byte) {
+func (h *Host) handleConfirmation(body []byte) error {
 	c, err := member.DecodeConfirmation(body)
 	if err != nil {
-		h.log.Warn("Confirmation not decodable, dropped.", slog.Any("error", err))
-		return
+		return err
 	}
 	if c.Incarnation == h.incarnation {
 		h.retries.Confirm(time.Now(), c.Hosts)
 	}
+	return nil
 }
 
 // handleHeartbeat handles the heartbeat of another host.
-func (h *Host) handleHeartbeat(body []byte) {
+func (h *Host) handleHeartbeat(body []byte) error {
 	hb, err := member.DecodeHeartbeat(body)
 	if err != nil {
-		h.log.Warn("Heartbeat not decodable, dropped.", slog.Any("error", err))
-		return
+		return err
 	}
 	h.registrar.receive(time.Now(), hb)
+	return nil
 }
 
 // announceSelf sends a heartbeat if one is due, and enters this host if no registrar
