A refused message of another host is logged with its sender and kind

Evidence: TestRefusedMessageNamesSenderAndKind, 2 of 2 cases failed on the code before. Change: a warning with host, role and kind. Result: the tests of the package pass.

--- a/internal/peer/recorded_test.go
+++ b/internal/peer/recorded_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"context"
+	"encoding/json"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -54,3 +57,32 @@
 		assert.ErrorIs(t, err, ErrMalformed)
 	}
 }
+
+// TestRefusedMessageNamesSenderAndKind guards against a refused message that leaves no line.
+func TestRefusedMessageNamesSenderAndKind(t *testing.T) {
+	for name, test := range map[string]struct {
+		kind Kind
+		role Role
+	}{
+		"unknown kind":       {200, RoleLead},
+		"not for its sender": {KindRelay, RoleOperator},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var logged bytes.Buffer
+			p := &Peer{log: slog.New(slog.NewJSONHandler(&logged, nil)), handlers: map[Kind]Handler{
+				KindRelay: func(context.Context, Identity, []byte) ([]byte, error) { return nil, nil },
+			}}
+			_, err := p.dispatch(t.Context(), Identity{Host: "h2", Role: test.role}, request{kind: test.kind})
+			assert.ErrorIs(t, err, ErrRefused)
+			var line struct {
+				Level, From, Role string
+				Kind              int
+			}
+			assert.NilError(t, json.Unmarshal(logged.Bytes(), &line))
+			assert.Equal(t, line.Level, "WARN")
+			assert.Equal(t, line.From, "h2")
+			assert.Equal(t, line.Role, string(test.role))
+			assert.Equal(t, line.Kind, int(test.kind))
+		})
+	}
+}
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -154,6 +154,8 @@
 	handler := p.handlers[req.kind]
 	p.mu.Unlock()
 	if handler == nil || !maySend(from.Role, req.kind) {
+		p.log.Warn("Message refused, its kind is unknown or not for its sender.", slog.String("from", string(from.Host)),
+			slog.String("role", string(from.Role)), slog.Int("kind", int(req.kind)))
 		return nil, ErrRefused
 	}
 	body, err := handler(ctx, from, req.body)
