--- a/internal/host/datagram_test.go
+++ b/internal/host/datagram_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/peer"
+	"citrontray.example/citrontray/internal/relay"
 )
 
 // TestDroppedDatagramNamesSenderAndKind guards against a line that does not tell which host
@@ -42,3 +45,17 @@
 		})
 	}
 }
+
+// TestUndecodableRequestNamesSender guards against a relayed request that is refused without a
+// line.
+func TestUndecodableRequestNamesSender(t *testing.T) {
+	var logged bytes.Buffer
+	r := &relayer{host: &Host{log: slog.New(slog.NewJSONHandler(&logged, nil))}}
+	_, err := r.serve(t.Context(), peer.Identity{Host: "h2"}, []byte{0xff})
+	assert.ErrorIs(t, err, relay.ErrMalformed)
+	var line struct{ Level, From, Error string }
+	assert.NilError(t, json.Unmarshal(logged.Bytes(), &line))
+	assert.Equal(t, line.Level, "WARN")
+	assert.Equal(t, line.From, "h2")
+	assert.Assert(t, line.Error != "")
+}
--- a/internal/host/relayer.go
+++ b/internal/host/relayer.go
@@ -283,6 +283,7 @@
 	start := time.Now()
 	in, err := relay.DecodeRequest(body)
 	if err != nil {
+		r.host.log.Warn("Request of another host not decodable.", slog.String("from", string(from.Host)), slog.Any("error", err))
 		return nil, err
 	}
 	j, result := r.newJob(&in, start)
