A document in an unknown encoding keeps no other document from a host

A host that gets a document in an encoding that it does not know refused the response there: the documents behind it in the same response or push were not applied, and the poll was repeated with the same result. A later build that adds an encoding would have cut older hosts off from newer lists and tables.

Change: the other documents are applied first; the error is returned as before, so the cursor stays and the document is asked for again.

--- a/internal/docsync/follower.go
+++ b/internal/docsync/follower.go
@@ -1,8 +1,10 @@
 package docsync
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
@@ -106,17 +108,18 @@
 		return err
 	}
 	before := f.node.replica.currentCursor()
+	var malformed error
 	for _, doc := range resp.inline {
 		err := f.node.apply(doc)
 		switch {
 		case errors.Is(err, errUnknownBase): // the base was replaced by a newer version meanwhile
 			resp.newer = append(resp.newer, header{name: doc.name, version: doc.version})
-		case err != nil:
-			return err
+		case err != nil: // the others are still applied
+			malformed = fmt.Errorf("%s: %w", doc.name, err)
 		}
 	}
 	complete, err := f.fetch(ctx, resp.newer)
-	if err != nil || !complete {
+	if err = cmp.Or(err, malformed); err != nil || !complete {
 		return err
 	}
 	f.replica, f.cursor = resp.replica, resp.cursor
@@ -228,18 +231,19 @@
 		return 0, resend, err
 	}
 	received := 0
+	var malformed error
 	for _, doc := range resp.docs {
 		err := f.node.apply(doc)
 		switch {
 		case errors.Is(err, errUnknownBase):
 			resend.wanted = append(resend.wanted, header{name: doc.name})
-		case err != nil:
-			return received, resend, err
+		case err != nil: // the others are still applied
+			malformed = fmt.Errorf("%s: %w", doc.name, err)
 		default:
 			received++
 		}
 	}
-	return received, resend, nil
+	return received, resend, malformed
 }
 
 // apply decodes a document and offers it to the replica.
--- a/internal/docsync/serve.go
+++ b/internal/docsync/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"citrontray.example/citrontray/internal/peer"
@@ -121,14 +122,15 @@
 
 func (n *Node) servePush(req push) (pushResponse, error) {
 	var resp pushResponse
+	var malformed error
 	for _, doc := range req.docs {
 		err := n.apply(doc)
 		switch {
 		case errors.Is(err, errUnknownBase):
 			resp.resend = append(resp.resend, doc.name)
-		case err != nil:
-			return resp, err
+		case err != nil: // the others are still applied
+			malformed = fmt.Errorf("%s: %w", doc.name, err)
 		}
 	}
-	return resp, nil
+	return resp, malformed
 }
