A replication response that can not be decoded is logged with its sender

Evidence: TestUndecodableResponseNamesSender failed on the code before (no line). Change: a warning with the address and the name of the document; the backoff between failed polls bounds it to about one a second for each process. Result: the tests of the package pass.

--- a/internal/docsync/follower.go
+++ b/internal/docsync/follower.go
@@ -74,7 +74,7 @@
 				return
 			}
 			f.node.markFailed(sent, f.addr)
-			f.node.log.Debug("Poll failed.", slog.String("addr", f.addr.String()), slog.Any("error", err))
+			f.logFailed(err)
 			sleep(ctx, retryBackoff(f.failures))
 			f.failures++
 			continue
@@ -85,6 +85,17 @@
 	}
 }
 
+// logFailed logs a failed poll. A process that can't be reached is nothing unusual, one whose
+// response can't be decoded may run another build.
+func (f *follower) logFailed(err error) {
+	addr, cause := slog.String("addr", f.addr.String()), slog.Any("error", err)
+	if errors.Is(err, ErrMalformed) || errors.Is(err, errMalformedDoc) {
+		f.node.log.Warn("Response of another process not decodable.", addr, cause)
+		return
+	}
+	f.node.log.Debug("Poll failed.", addr, cause)
+}
+
 // retryBackoff returns the time before the next attempt to reach a process:
 // exponential with jitter.
 func retryBackoff(failures int) time.Duration {
--- a/internal/docsync/unknown_test.go
+++ b/internal/docsync/unknown_test.go
@@ -1,9 +1,14 @@
 package docsync
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"log/slog"
 	"net/netip"
+	"strings"
 	"testing"
+	"testing/synctest"
 
 	"gotest.tools/v3/assert"
 
@@ -65,3 +70,23 @@
 		})
 	}
 }
+
+// TestUndecodableResponseNamesSender guards against a response that can't be decoded being
+// logged like a process that can't be reached.
+func TestUndecodableResponseNamesSender(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var logged bytes.Buffer
+		transport := &scriptedTransport{polled: pollResponse{replica: 9, cursor: 5, inline: []encodedDoc{
+			{name: "a", version: Version{Major: 3}, encoding: encodingDelta + 1, payload: []byte("x")},
+		}}}
+		n := NewNode(New(), transport, Config{Self: peer.Identity{Host: "h1", Zone: "z1", Role: peer.RoleLead}, Log: slog.New(slog.NewJSONHandler(&logged, nil))})
+		ctx, cancel := context.WithTimeout(t.Context(), minRetryBackoff/4)
+		defer cancel()
+		(&follower{node: n, addr: netip.MustParseAddrPort("10.0.0.9:7001")}).loop(ctx)
+		var line struct{ Level, Addr, Error string }
+		assert.NilError(t, json.Unmarshal(logged.Bytes(), &line))
+		assert.Equal(t, line.Level, "WARN")
+		assert.Equal(t, line.Addr, "10.0.0.9:7001")
+		assert.Assert(t, strings.HasPrefix(line.Error, "a: "))
+	})
+}
