A routing table of a cell with more fields than a host knows is not refused

Evidence: TestGolden with added fields failed on the code before. Change: decoded by package compat, within the limits that were set before.

--- a/internal/table/codec.go
+++ b/internal/table/codec.go
@@ -4,6 +4,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
 
+	"citrontray.example/citrontray/internal/compat"
 	"citrontray.example/citrontray/internal/grant"
 	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/place"
@@ -67,7 +68,7 @@
 // The owners in a decoded table are NoOwner or valid indexes into its targets.
 func Decode(data []byte) (Table, error) {
 	var w wireTable
-	if err := cbor.Unmarshal(data, &w); err != nil {
+	if err := compat.Unmarshal(data, &w); err != nil {
 		return Table{}, oops.Wrapf(err, "decode table")
 	}
 	if len(w.Rows)%rowWidth != 0 || len(w.SingleKeys)%singleKeyWidth != 0 {
--- a/internal/table/golden_test.go
+++ b/internal/table/golden_test.go
@@ -8,6 +8,8 @@
 
 	gocmp "github.com/google/go-cmp/cmp"
 	"gotest.tools/v3/assert"
+
+	"citrontray.example/citrontray/internal/compat/compattest"
 )
 
 // TestGolden: the golden table, written by revision 2bbdf8e, is decoded to the same
@@ -30,6 +32,9 @@
 	got, err := Decode(body)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, want, gocmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }))
+	later, err := Decode(compattest.WithNewFields(t, body, wireTable{}))
+	assert.NilError(t, err, "fields of a later build")
+	assert.DeepEqual(t, later, want, gocmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }))
 	again, err := Encode(want)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, again, body)
