A cell document or message with more fields than a host knows is not refused

Evidence: TestGoldenDoc and 4 of 4 cases of TestGoldenMessage failed with added fields on the code before. Change: decoded by package compat, within the limits that were set before. Result: the short tests of the package pass.

--- a/internal/cell/codec.go
+++ b/internal/cell/codec.go
@@ -4,6 +4,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
 
+	"citrontray.example/citrontray/internal/compat"
 	"citrontray.example/citrontray/internal/grant"
 	"citrontray.example/citrontray/internal/place"
 	"citrontray.example/citrontray/internal/platform"
@@ -13,15 +14,7 @@
 // maxElements bounds the length of each list of a decoded document or message.
 const maxElements = 1 << 17
 
-var decMode = newDecMode()
-
-func newDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxNestedLevels: 8}.DecMode()
-	if err != nil {
-		panic(err) // can't happen, as the options are constant
-	}
-	return mode
-}
+var decoder = compat.NewDecoder(cbor.DecOptions{MaxArrayElements: maxElements, MaxNestedLevels: 8})
 
 // EncodeDoc returns the document in its stored form.
 func EncodeDoc(d Doc) ([]byte, error) {
@@ -33,7 +26,7 @@
 // and their target indexes.
 func DecodeDoc(data []byte) (Doc, error) {
 	var w wireDoc
-	if err := decMode.Unmarshal(data, &w); err != nil {
+	if err := decoder.Unmarshal(data, &w); err != nil {
 		return Doc{}, oops.Wrapf(err, "decode cell document")
 	}
 	d := docFromWire(w)
@@ -89,7 +82,7 @@
 // as DecodeDoc does.
 func DecodeMessage(data []byte) (Message, error) {
 	var w wireMessage
-	if err := decMode.Unmarshal(data, &w); err != nil {
+	if err := decoder.Unmarshal(data, &w); err != nil {
 		return nil, oops.Wrapf(err, "decode cell message")
 	}
 	return messageFromWire(w)
--- a/internal/cell/golden_test.go
+++ b/internal/cell/golden_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"citrontray.example/citrontray/internal/compat/compattest"
 	"citrontray.example/citrontray/internal/grant"
 	"citrontray.example/citrontray/internal/place"
 )
@@ -44,6 +45,9 @@
 	got, err := DecodeDoc(body)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, want, compareAddr)
+	later, err := DecodeDoc(compattest.WithNewFields(t, body, wireDoc{}))
+	assert.NilError(t, err, "fields of a later build")
+	assert.DeepEqual(t, later, want, compareAddr)
 	again, err := EncodeDoc(want)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, again, body)
@@ -74,6 +78,9 @@
 			got, err := DecodeMessage(body)
 			assert.NilError(t, err)
 			assert.DeepEqual(t, got, test.want, compareAddr)
+			later, err := DecodeMessage(compattest.WithNewFields(t, body, wireMessage{}))
+			assert.NilError(t, err, "fields of a later build")
+			assert.DeepEqual(t, later, test.want, compareAddr)
 			again, err := EncodeMessage(test.want)
 			assert.NilError(t, err)
 			assert.DeepEqual(t, again, body)
