A load report of a cell with more fields than a host knows is not refused

Evidence: TestFieldsOfLaterBuild failed on the code before. Fields nested deeper than the limit of 4 are still refused. Change: decoded by package compat, within the limits that were set before.

--- a/internal/placement/report.go
+++ b/internal/placement/report.go
@@ -13,6 +13,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"citrontray.example/citrontray/internal/compat"
 	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/place"
 )
@@ -75,16 +76,10 @@
 	Error uint64
 }
 
-var reportDecMode = newDecMode()
+// maxNesting bounds the nesting of a report.
+const maxNesting = 4
 
-func newDecMode() cbor.DecMode {
-	const maxNesting = 4
-	mode, err := cbor.DecOptions{MaxArrayElements: MaxHotKeys, MaxNestedLevels: maxNesting}.DecMode()
-	if err != nil {
-		panic(err) // can't happen, as the options are constant
-	}
-	return mode
-}
+var reportDecoder = compat.NewDecoder(cbor.DecOptions{MaxArrayElements: MaxHotKeys, MaxNestedLevels: maxNesting})
 
 // EncodeReport returns the body of a load report, with at most MaxHotKeys hot keys.
 func EncodeReport(r Report) ([]byte, error) {
@@ -107,7 +102,7 @@
 // DecodeReport decodes the body of a load report.
 func DecodeReport(data []byte) (Report, error) {
 	var w wireReport
-	if err := reportDecMode.Unmarshal(data, &w); err != nil {
+	if err := reportDecoder.Unmarshal(data, &w); err != nil {
 		return Report{}, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	r := Report{
