A request between entries with more fields than a host knows is not refused

Evidence: TestJobRoundTrip with added fields failed on the code before. Change: decoded by package compat. Result: the short tests of the package pass.

--- a/internal/entry/wire.go
+++ b/internal/entry/wire.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"citrontray.example/citrontray/internal/compat"
 	"citrontray.example/citrontray/internal/forward"
 	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/outcome"
@@ -57,7 +58,7 @@
 
 func decodeJob(now time.Time, body []byte) (*job, error) {
 	var m wireJob
-	if err := cbor.Unmarshal(body, &m); err != nil {
+	if err := compat.Unmarshal(body, &m); err != nil {
 		return nil, fmt.Errorf("%w: %w", errMalformed, err)
 	}
 	if len(m.Fingerprint) != len(fingerprint{}) || m.MaxBody < 0 || m.TimeoutUS > uint64(maxRelayTimeout.Microseconds()) {
--- a/internal/entry/wire_test.go
+++ b/internal/entry/wire_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"citrontray.example/citrontray/internal/compat/compattest"
 	"citrontray.example/citrontray/internal/forward"
 	"citrontray.example/citrontray/internal/outcome"
 	"citrontray.example/citrontray/internal/relay"
@@ -31,6 +32,10 @@
 	assert.Equal(t, got.fingerprint, j.fingerprint)
 	assert.Equal(t, got.idempotencyKey, j.idempotencyKey)
 	assert.Assert(t, got.deadline.Equal(j.deadline))
+	later, err := decodeJob(now, compattest.WithNewFields(t, body, wireJob{}))
+	assert.NilError(t, err, "fields of a later build")
+	assert.DeepEqual(t, later.request, j.request)
+	assert.Equal(t, later.fingerprint, j.fingerprint)
 }
 
 func TestResultRoundTrip(t *testing.T) {
