--- a/internal/compat/compat.go
+++ b/internal/compat/compat.go
@@ -33,8 +33,11 @@
 // Unmarshal decodes data into the value that v points to.
 func (d Decoder) Unmarshal(data []byte, v any) error {
 	err := d.mode.Unmarshal(data, v)
+	if err == nil {
+		return nil
+	}
 	var mismatch *cbor.UnmarshalTypeError
-	if err == nil || !errors.As(err, &mismatch) {
+	if !errors.As(err, &mismatch) {
 		return err
 	}
 	// The data is well-formed and within the limits, but an array may be longer or shorter
