--- a/internal/docsync/follower.go
+++ b/internal/docsync/follower.go
@@ -1,8 +1,10 @@
 package docsync
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
@@ -72,7 +74,7 @@
 				return
 			}
 			f.node.markFailed(sent, f.addr)
-			f.node.log.Debug("Poll failed.", slog.String("addr", f.addr.String()), slog.Any("error", err))
+			f.logFailed(err)
 			sleep(ctx, retryBackoff(f.failures))
 			f.failures++
 			continue
@@ -83,6 +85,17 @@
 	}
 }
 
+// logFailed logs a failed poll. A process that can't be reached is nothing unusual, one whose
+// response can't be decoded may run another build.
+func (f *follower) logFailed(err error) {
+	addr, cause := slog.String("addr", f.addr.String()), slog.Any("error", err)
+	if errors.Is(err, ErrMalformed) || errors.Is(err, errMalformedDoc) {
+		f.node.log.Warn("Response of another process not decodable.", addr, cause)
+		return
+	}
+	f.node.log.Debug("Poll failed.", addr, cause)
+}
+
 // retryBackoff returns the time before the next attempt to reach a process:
 // exponential with jitter.
 func retryBackoff(failures int) time.Duration {
@@ -106,17 +119,18 @@
 		return err
 	}
 	before := f.node.replica.currentCursor()
+	var malformed error
 	for _, doc := range resp.inline {
 		err := f.node.apply(doc)
 		switch {
 		case errors.Is(err, errUnknownBase): // the base was replaced by a newer version meanwhile
 			resp.newer = append(resp.newer, header{name: doc.name, version: doc.version})
-		case err != nil:
-			return err
+		case err != nil: // the others are still applied
+			malformed = fmt.Errorf("%s: %w", doc.name, err)
 		}
 	}
 	complete, err := f.fetch(ctx, resp.newer)
-	if err != nil || !complete {
+	if err = cmp.Or(err, malformed); err != nil || !complete {
 		return err
 	}
 	f.replica, f.cursor = resp.replica, resp.cursor
@@ -228,18 +242,19 @@
 		return 0, resend, err
 	}
 	received := 0
+	var malformed error
 	for _, doc := range resp.docs {
 		err := f.node.apply(doc)
 		switch {
 		case errors.Is(err, errUnknownBase):
 			resend.wanted = append(resend.wanted, header{name: doc.name})
-		case err != nil:
-			return received, resend, err
+		case err != nil: // the others are still applied
+			malformed = fmt.Errorf("%s: %w", doc.name, err)
 		default:
 			received++
 		}
 	}
-	return received, resend, nil
+	return received, resend, malformed
 }
 
 // apply decodes a document and offers it to the replica.
--- a/internal/host/digest.go
+++ b/internal/host/digest.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"citrontray.example/citrontray/internal/compat"
 	"citrontray.example/citrontray/internal/docsync"
 	"citrontray.example/citrontray/internal/place"
 )
@@ -45,15 +46,15 @@
 }
 
 // handleDigest handles the digest of another watcher.
-func (h *Host) handleDigest(body []byte) {
+func (h *Host) handleDigest(body []byte) error {
 	var w wireDigest
-	if err := cbor.Unmarshal(body, &w); err != nil {
-		h.log.Warn("Digest not decodable, dropped.", slog.Any("error", err))
-		return
+	if err := compat.Unmarshal(body, &w); err != nil {
+		return err
 	}
 	d := digest{receivedAt: time.Now(), versions: make(map[docsync.Name]uint64, len(w.Versions))}
 	for name, version := range w.Versions {
 		d.versions[docsync.Name(name)] = version
 	}
 	h.watcher.receive(d)
+	return nil
 }
--- a/internal/host/loadreport.go
+++ b/internal/host/loadreport.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"citrontray.example/citrontray/internal/compat"
 	"citrontray.example/citrontray/internal/dispatch"
 	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/place"
@@ -108,7 +109,7 @@
 
 func decodeReport(body []byte) (loadReport, error) {
 	var w wireReport
-	if err := cbor.Unmarshal(body, &w); err != nil {
+	if err := compat.Unmarshal(body, &w); err != nil {
 		return loadReport{}, err
 	}
 	r := loadReport{service: key.Service(w.Service), points: make(map[key.Point]int)}
@@ -204,13 +205,13 @@
 }
 
 // handleReport handles a load report of another host.
-func (h *Host) handleReport(body []byte) {
+func (h *Host) handleReport(body []byte) error {
 	r, err := decodeReport(body)
 	if err != nil {
-		h.log.Warn("Load report not decodable, dropped.", slog.Any("error", err))
-		return
+		return err
 	}
 	h.deliverReport(r)
+	return nil
 }
 
 func (h *Host) deliverReport(r loadReport) {
--- a/internal/host/notice.go
+++ b/internal/host/notice.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"citrontray.example/citrontray/internal/compat"
 	"citrontray.example/citrontray/internal/key"
 	"citrontray.example/citrontray/internal/owner"
 	"citrontray.example/citrontray/internal/place"
@@ -50,7 +51,7 @@
 
 func decodeNotice(body []byte) (notice, error) {
 	var w wireNotice
-	if err := cbor.Unmarshal(body, &w); err != nil {
+	if err := compat.Unmarshal(body, &w); err != nil {
 		return notice{}, err
 	}
 	return notice{
@@ -60,11 +61,10 @@
 }
 
 // handleNotice handles a notice of another host.
-func (h *Host) handleNotice(body []byte) {
+func (h *Host) handleNotice(body []byte) error {
 	n, err := decodeNotice(body)
 	if err != nil {
-		h.log.Warn("Notice not decodable, dropped.", slog.Any("error", err))
-		return
+		return err
 	}
 	h.mu.Lock()
 	c := h.controllers[n.service]
@@ -72,6 +72,7 @@
 	if c != nil {
 		c.tryPost(func(now time.Time) { c.handleNotice(now, n) })
 	}
+	return nil
 }
 
 // sendNotice sends a notice to a host.
