A successful response that states that its request did not run proves neither

The mark is for refusals (503, 429, 421, 400); with a status below 400 the two contradict each other, and the request may have run. Evidence: TestUnshardedResponses, new case, was "refused" on the code before by reading the code; no target is known to send it. Change: it ends as answer-bad, unknown. Measured: the test passes.

--- a/internal/forward/unsharded.go
+++ b/internal/forward/unsharded.go
@@ -22,6 +22,7 @@
 	errOtherRequest    = errors.New("forward: response to another request")
 	errContentEncoding = errors.New("forward: response has a content encoding that was not requested")
 	errNoStamp         = errors.New("forward: successful response without the target's stamp")
+	errMarkedSuccess   = errors.New("forward: successful response that states that the request did not run")
 )
 
 // roundTripUnsharded sends a request without a shard and reads its response.
@@ -119,6 +120,10 @@
 		return failure
 	}
 	c.broken = stale || resp.Close || !framed(resp) || c.br.Buffered() > 0
+	if resp.StatusCode < http.StatusBadRequest && refused(resp, r.HeaderNames) {
+		c.broken = true
+		return Uncertain{Reason: outcome.AnswerBad, Err: errMarkedSuccess}
+	}
 	if refused(resp, r.HeaderNames) {
 		return Refused{
 			Refusal: refusalOf(resp.StatusCode), Status: resp.StatusCode, Signal: target.SignalOf(resp, r.HeaderNames, r.Expect),
--- a/internal/forward/unsharded_test.go
+++ b/internal/forward/unsharded_test.go
@@ -217,6 +217,7 @@
 		"encoded":                  {strings.Replace(complete, "Content-Length", "Content-Encoding: gzip\r\nContent-Length", 1), string(outcome.AnswerBad)},
 		"no id":                    {strings.Replace(complete, "Citrontray-Request: ID\r\n", "", 1), string(outcome.AnswerWrong)},
 		"refused without an id":    {"HTTP/1.1 503 Full\r\nCitrontray-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", "refused"},
+		"marked success":           {strings.Replace(complete, "Content-Length", "Citrontray-Not-Run: 1\r\nContent-Length", 1), string(outcome.AnswerBad)},
 		"another target":           {"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n", "refused"},
 		"failure of the target":    {"HTTP/1.1 500 No\r\nCitrontray-Request: ID\r\nContent-Length: 0\r\n\r\n", "answered"},
 	}
