--- a/internal/fake/rangetarget.go
+++ b/internal/fake/rangetarget.go
@@ -55,6 +55,8 @@
 	// OnAccepted, where set, is called with each request that is not for another target or
 	// for a key of another target.
 	OnAccepted func(req *http.Request)
+	// OnRun, where set, is called with each request that begins to run.
+	OnRun func(req *http.Request)
 	// Deadly, where set, reports whether a request ends the target. Once it has run for a
 	// while, OnEnd is called, which has to end the target.
 	Deadly func(req *http.Request) bool
@@ -136,7 +138,7 @@
 		return nil, fmt.Errorf("fake: %w", err)
 	}
 	next := NewRangeTarget(r.Name, r.Addr, r.Slots, r.names, r.runs)
-	next.Keyless, next.OnArrival, next.OnAccepted, next.Deadly, next.OnEnd = r.Keyless, r.OnArrival, r.OnAccepted, r.Deadly, r.OnEnd
+	next.Keyless, next.OnArrival, next.OnAccepted, next.OnRun, next.Deadly, next.OnEnd = r.Keyless, r.OnArrival, r.OnAccepted, r.OnRun, r.Deadly, r.OnEnd
 	next.server = &http.Server{Handler: next}
 	go next.run(l)
 	return next, nil
@@ -255,6 +257,9 @@
 		return
 	}
 	r.runs.add(id)
+	if r.OnRun != nil {
+		r.OnRun(req)
+	}
 	time.Sleep(f.Work)
 	if r.Deadly != nil && r.Deadly(req) {
 		r.OnEnd(r, req)
