--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -220,7 +220,7 @@
 	h.metrics.countRequest(service, result, took)
 	if p := proofFor(j, result); p != "" {
 		h.metrics.countNotRun(service, p)
-		attrs = append(attrs, slog.String("proof", string(p)))
+		attrs = append(attrs, p.attrs()...)
 	}
 	h.log.Info("Request ended.", attrs...)
 }
--- a/internal/host/relayer.go
+++ b/internal/host/relayer.go
@@ -298,9 +298,7 @@
 	if j != nil {
 		attrs = append(attrs, j.logAttrs()...)
 	}
-	if p := proofFor(j, result); p != "" {
-		attrs = append(attrs, slog.String("proof", string(p)))
-	}
+	attrs = append(attrs, proofFor(j, result).attrs()...)
 	r.host.log.Info("Request of another host ended.", attrs...)
 	return relay.EncodeResult(result, false)
 }
