The line of a host's start names its build

The line Started. has the release and the commit now. Measured: TestServesBothKinds passes; the attribute is in each process's first line only.

--- a/internal/host/main.go
+++ b/internal/host/main.go
@@ -7,6 +7,8 @@
 	"runtime/debug"
 	"syscall"
 	"time"
+
+	"citrontray.example/citrontray/internal/version"
 )
 
 // logFlushTimeout is how long an ending process waits for its log to be written.
@@ -30,7 +32,7 @@
 		const usage = 2
 		return usage
 	}
-	log.Info("Started.", slog.String("host", string(h.site.Host)), slog.String("zone", string(h.site.Zone)),
+	log.Info("Started.", slog.String("version", version.String()), slog.String("host", string(h.site.Host)), slog.String("zone", string(h.site.Zone)),
 		slog.Uint64("life", uint64(h.incarnation)), slog.String("front", h.site.Front.String()))
 	if err := h.Run(ctx); err != nil {
 		log.Error("Failed.", slog.Any("error", err))
