--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of the second review start. None of its cases has a
-# script so far.
+# Builds the stand-ins that the scripts of the second review start.
 set -euo pipefail
+cd "$(dirname "$0")/.."
+go build -o target/review-stand-2 ./review/stand2
