--- a/review/stand2/deployment.go
+++ b/review/stand2/deployment.go
@@ -47,6 +47,7 @@
 	stored  *http.Server
 	storeAt netip.AddrPort
 	servers []*server
+	keyed   []*http.Server
 	hosts   []*hostProcess
 	runs    *runLog
 	closed  chan struct{}
@@ -270,5 +271,8 @@
 	for _, s := range d.servers {
 		s.stop()
 	}
+	for _, s := range d.keyed {
+		_ = s.Close()
+	}
 	_ = d.stored.Close()
 }
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -23,6 +23,7 @@
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
 	"planned-stop": plannedStop,
+	"token-space":  tokenSpace,
 }
 
 func main() { os.Exit(run()) }
