--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -79,7 +79,7 @@
 	}})
 	transport := &http.Transport{DisableCompression: true}
 	defer transport.CloseIdleConnections()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.listen(frontPort)+"/work/"+a.id, strings.NewReader("order "+a.id))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.listen(frontPort)+routePrefix+a.id, strings.NewReader("order "+a.id))
 	if err != nil {
 		panic(err) // can't happen with our own addresses
 	}
--- a/review/stand2/deployment.go
+++ b/review/stand2/deployment.go
@@ -26,6 +26,7 @@
 	lastPort    = 7555
 	hostName    = "review.example"
 	healthPath  = "/healthz"
+	routePrefix = "/orders/"
 	// probeInterval is the time between two probes of the balancer; after maxMisses misses in
 	// a row a host gets no new connections.
 	probeInterval = time.Second
@@ -93,7 +94,7 @@
 		"version": "00000003",
 		"routes": map[string]any{
 			"columns": []string{"name", "hostname", "prefix", "kind", "timeout_ms", "target_latency_ms", "max_attempts", "priority", "service"},
-			"rows":    [][]any{{"route", hostName, "/work/", r.kind, r.timeout.Milliseconds(), r.aim.Milliseconds(), 2, 1, r.service}},
+			"rows":    [][]any{{"route", hostName, routePrefix, r.kind, r.timeout.Milliseconds(), r.aim.Milliseconds(), 2, 1, r.service}},
 		},
 		"services": map[string]any{"columns": []string{"name", "health_path", "max_connections"}, "rows": [][]any{{r.service, healthPath, 130}}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
--- a/review/stand2/token.go
+++ b/review/stand2/token.go
@@ -74,6 +74,8 @@
 	*platformfake.Server
 
 	d      *deployment
+	zone   string
+	born   int64
 	ledger *tokenLedger
 	broken *brokenFlag
 }
@@ -139,8 +141,8 @@
 }
 
 // tokenSpace plays the loss of a leader that has used more fencing tokens than its term has. The
-// other leaders of the deployment's history are not played: the servers and the store begin with
-// what that leader left. Without trouble the leader has used fewer tokens.
+// loss itself is not played: the servers and the store begin with what that leader left. Without
+// trouble the leader has used fewer tokens.
 func tokenSpace(d *deployment, trouble bool) (bool, error) {
 	const servers, length = 6, 70 * time.Second
 	ledger, broken := &tokenLedger{tokens: make(map[string]*[key.Points]uint64)}, &brokenFlag{}
@@ -156,7 +158,7 @@
 			return false, err
 		}
 		span := key.Range{First: key.Point(i * key.Points / servers), Last: key.Point((i+1)*key.Points/servers - 1)}
-		doc.Rows = append(doc.Rows, owner.Row{Range: span, Target: s.Name, Incarnation: 1, Addr: s.Addr})
+		doc.Rows = append(doc.Rows, owner.Row{Range: span, Target: s.Name, Incarnation: place.Incarnation(s.born), Addr: s.Addr})
 		g := grantOrder{int(span.First), int(span.Last), first + uint64(i), grantHold.Milliseconds()}
 		resp, err := http.Post("http://"+s.Addr.String()+"/grant", "application/json", bytes.NewReader(mustMarshal(g)))
 		if err != nil {
@@ -202,16 +204,33 @@
 		return nil, err
 	}
 	t := fake.NewRangeTarget(place.Target(id), addr, serverSlots, platform.HeaderNames(), fake.NewRunCounter())
-	s := &keyedServer{platformfake.NewServer(t), d, ledger, broken}
+	s := &keyedServer{platformfake.NewServer(t), d, zone, time.Now().UnixMilli(), ledger, broken}
 	h := &http.Server{Handler: s, IdleTimeout: idleClose, ReadHeaderTimeout: idleClose}
 	d.keyed = append(d.keyed, h)
 	go s.run(h, l)
-	d.store.Set(internalplatform.Path("servers/"+id), mustMarshal(map[string]any{
-		"address": addr.String(), "born": 1,
-		"info":   map[string]any{"service": keyedService, "version": "v1", "zone": zone, "slots": serverSlots},
-		"status": map[string]any{"state": "ready", "sequence": 1, "warmup_left_ms": 0},
-	}))
+	s.writeEntry(0)
+	go s.loopHeartbeat()
 	return s, nil
 }
 
+// loopHeartbeat writes the server's entry until the deployment is closed.
+func (s *keyedServer) loopHeartbeat() {
+	for sequence := 1; ; sequence++ {
+		select {
+		case <-s.d.closed:
+			return
+		case <-time.After(heartbeat):
+			s.writeEntry(sequence)
+		}
+	}
+}
+
+func (s *keyedServer) writeEntry(sequence int) {
+	s.d.store.Set(internalplatform.Path("servers/"+string(s.Name)), mustMarshal(map[string]any{
+		"address": s.Addr.String(), "born": s.born,
+		"info":   map[string]any{"service": keyedService, "version": "v1", "zone": s.zone, "slots": serverSlots},
+		"status": map[string]any{"state": "ready", "sequence": sequence, "warmup_left_ms": 0},
+	}))
+}
+
 func (s *keyedServer) run(h *http.Server, l net.Listener) { _ = h.Serve(l) }
