Requests that have not been sent are answered before a graceful stop ends (LOST)

Cause: a wait ended with the deadline of its request only. Host.newJob refused requests that may outlast the stop from half of the grace period on; those that came before waited on, and the end of the stop closed their connections.

Change: stops.join gives each job one context for all of its waits. It ends when the job can no longer be answered before the end of the stop by the work times of its route (package shutdown), and the request is refused with Retry-After 50 ms. Homes get the shorter deadlines at once and refuse what they don't expect to end in time. A Leave bounds the requests that the leaving host passed on; a request at a stopping host of another one ends as no-path, so that its first host serves it otherwise. A draining connection answers a request that it has read behind another one, bodies are read until 150 ms before the end, and the end closes connections with an open request only; clients that have not read their response yet get half a second more.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -154,6 +154,31 @@
 	c.sendAcquire(now, p)
 }
 
+// Shorten sends the pending Acquires whose deadlines lie after end again, so that their homes
+// refuse the requests that they do not expect to end by then.
+func (c *Client) Shorten(now, end time.Time) {
+	timeout, softTimeout := TimeoutsFor(end.Sub(now))
+	for _, id := range slices.Sorted(maps.Keys(c.pending)) {
+		p := c.pending[id]
+		if !p.deadline.After(end) {
+			continue
+		}
+		if at := now.Add(timeout); at.Before(p.deadline) {
+			p.deadline = at
+		}
+		if at := now.Add(softTimeout); at.Before(p.softDeadline) {
+			p.softDeadline = at
+		}
+		c.resendAcquire(now, p)
+	}
+}
+
+// TimeoutsFor returns the Timeout and the SoftTimeout with which a home accepts the requests
+// that it expects to end within d.
+func TimeoutsFor(d time.Duration) (timeout, softTimeout time.Duration) {
+	return time.Duration(float64(d) / deadlineMargin), time.Duration(float64(d) / softDeadlineMargin)
+}
+
 // Resent returns the service of each Acquire that was sent again since the last call.
 func (c *Client) Resent() []key.Service {
 	out := c.resent
--- a/internal/dispatch/home.go
+++ b/internal/dispatch/home.go
@@ -297,8 +297,13 @@
 		h.send(from, Assigned{ID: a.ID, Target: t.target.Target, Addr: t.target.Addr})
 		return
 	}
-	if _, ok := h.waiting[key]; ok {
-		h.send(from, Queued{ID: a.ID})
+	if p, ok := h.waiting[key]; ok {
+		if p.shorten(now, key, a) {
+			h.runQueue(now, p)
+		}
+		if _, ok := h.waiting[key]; ok {
+			h.send(from, Queued{ID: a.ID})
+		}
 		return
 	}
 	p := h.pool(now, a.Pool)
--- a/internal/dispatch/home_test.go
+++ b/internal/dispatch/home_test.go
@@ -197,3 +197,37 @@
 		})
 	}
 }
+
+// TestShortenedAcquire: a queued Acquire that is sent again with an earlier deadline is refused at
+// once if it is not expected to end by then; one that was delayed on its way keeps its own.
+func TestShortenedAcquire(t *testing.T) {
+	const work = 500 * time.Millisecond
+	start := time.Unix(1000, 0)
+	for name, test := range map[string]struct {
+		timeout time.Duration
+		refused bool
+	}{
+		"as before": {9990 * time.Millisecond, false},
+		"in time":   {5 * time.Second, false},
+		"too short": {600 * time.Millisecond, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := NewHome(&oneRow{row: place.TargetRow{Target: "t", Slots: 1, Incarnation: 2, State: place.Live}})
+			from, pool := Peer{Host: "h", Incarnation: 1}, PoolID{Service: "s"}
+			ask := func(now time.Time, id TicketID, timeout time.Duration) []PeerMessage {
+				return h.Handle(now, from, Acquire{ID: id, Pool: pool, Class: "c", Timeout: timeout, SoftTimeout: timeout})
+			}
+			const requests = 4
+			for id := range TicketID(requests) {
+				h.Observe("c", work)
+				ask(start, id, 10*time.Second)
+			}
+			refused := false
+			for _, m := range ask(start.Add(10*time.Millisecond), requests-1, test.timeout) {
+				_, ok := m.Message.(Refused)
+				refused = refused || ok
+			}
+			assert.Equal(t, refused, test.refused)
+		})
+	}
+}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -193,6 +193,25 @@
 	return mean, count
 }
 
+// shortenTolerance is the difference between the deadlines of an Acquire and of its resend
+// that their transit explains.
+const shortenTolerance = 50 * time.Millisecond
+
+// shorten moves the deadlines of a waiter to the earlier ones of a resend, and reports whether
+// it did: the asking host stops.
+func (p *pool) shorten(now time.Time, key ticketKey, a Acquire) bool {
+	i := slices.IndexFunc(p.waiting, func(w *waiter) bool { return w.key == key })
+	deadline, softDeadline := now.Add(a.Timeout), now.Add(a.SoftTimeout)
+	if i < 0 || p.waiting[i].deadline.Sub(deadline) <= shortenTolerance {
+		return false
+	}
+	p.waiting[i].deadline = deadline
+	if softDeadline.Before(p.waiting[i].softDeadline) {
+		p.waiting[i].softDeadline = softDeadline
+	}
+	return true
+}
+
 // compareWaiters orders the queue by priority, then earliest deadline first: requests
 // that can be on time by their soft deadline, and after them late ones by their
 // deadline. Clients that returned before the end of their retry delay come last.
--- a/internal/host/backoff.go
+++ b/internal/host/backoff.go
@@ -80,6 +80,8 @@
 	}
 	_, pause := j.host.dispatcher.backoff(now, v.targets[owner])
 	switch {
+	case pause > 0 && j.waitsBeyondStop(now, now.Add(pause)):
+		return j.stopped()
 	case pause > 0 && now.Add(pause).Sub(j.arrived) > time.Duration(maxParkShare*float64(j.deadline.Sub(j.arrived))):
 		return finishStep{outcome.NotRunFailure{Reason: outcome.Refused, RetryAfter: pause}}
 	case pause > 0:
--- a/internal/host/dispatcher.go
+++ b/internal/host/dispatcher.go
@@ -80,6 +80,8 @@
 	coldBound func(service key.Service) dispatch.ColdBound
 	// onLimited is called with each notice about a rate limit.
 	onLimited func(m dispatch.Limited)
+	// onLeave is called with each host that announces its stop.
+	onLeave func(from place.Host)
 	// onLimitChange is called with each change of a limit at the homes here.
 	onLimitChange func(e dispatch.LimitEvent)
 	// onResent is called with the service of each Acquire that was sent again.
@@ -228,6 +230,9 @@
 func (d *dispatcher) handleMessage(now time.Time, from dispatch.Peer, m dispatch.Message) {
 	switch m.(type) {
 	case dispatch.Assigned, dispatch.Queued, dispatch.Refused, dispatch.Pong, dispatch.Leave:
+		if _, ok := m.(dispatch.Leave); ok {
+			d.onLeave(from.Host)
+		}
 		d.client.Receive(now, from.Host, m)
 		d.flush(now, nil)
 	default:
@@ -452,8 +457,9 @@
 	return !d.client.Suspects(host) && !d.client.Stopped(host)
 }
 
-// announceStop announces to all hosts that this one stops.
-func (d *dispatcher) announceStop(hosts []member.Host) {
+// announceStop announces to all hosts that this one stops. Requests that wait for a slot have
+// until end.
+func (d *dispatcher) announceStop(now, end time.Time, hosts []member.Host) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, h := range hosts {
@@ -461,7 +467,9 @@
 			d.send(h.Name, dispatch.Leave{})
 		}
 	}
-	d.client.Receive(time.Now(), d.self.Host, dispatch.Leave{})
+	d.client.Receive(now, d.self.Host, dispatch.Leave{})
+	d.client.Shorten(now, end)
+	d.flush(now, nil)
 }
 
 // hostRestarted records that a host has a new incarnation.
--- a/internal/host/evacuation.go
+++ b/internal/host/evacuation.go
@@ -212,7 +212,11 @@
 		until = at
 	}
 	limits := evacuationLimits(j.host.bounds.Load())
-	return limits.NotAfter(now, until)
+	until = limits.NotAfter(now, until)
+	if at := j.host.stops.until(now, j); !at.IsZero() && (until.IsZero() || at.Before(until)) {
+		until = at
+	}
+	return until
 }
 
 // observeEvacuations logs once for each evacuated zone that none of its targets owns a range
--- a/internal/host/handler.go
+++ b/internal/host/handler.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -98,7 +99,7 @@
 	}
 	h.retries.CountRequest(now, service.Name)
 	content, result := h.readBody(r, limits.MaxBodyBytes, j.reserveMemory)
-	if result == nil && h.stop.Load().refuses(time.Now(), j.deadline) {
+	if result == nil && h.stops.own().Late(time.Now(), j.deadline) {
 		result = outcome.NotRunFailure{Reason: outcome.Stopping, RetryAfter: stoppingRetryAfter}
 	}
 	if result != nil {
@@ -199,6 +200,9 @@
 		return nil, outcome.NotRunFailure{Reason: outcome.Overload, RetryAfter: defaultRetryAfter}
 	}
 	h.log.Info("Request body not read.", slog.Any("error", err))
+	if own := h.stops.own(); own != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, outcome.NotRunFailure{Reason: outcome.Stopping, RetryAfter: stoppingRetryAfter}
+	}
 	return nil, outcome.NotRunFailure{Reason: outcome.BodyCut}
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -84,6 +84,7 @@
 	keyCounter     *keyCounter
 	bodyMemory     *semaphore.Weighted
 	transfers      *transfers
+	stops          *stops
 	metrics        *metrics
 	registry       *metric.Registry
 	admin          *admin.Server
@@ -97,8 +98,6 @@
 	front    net.Listener
 	ready    net.Listener
 	stopping atomic.Bool
-	// stop is set once the host stops.
-	stop atomic.Pointer[stopSchedule]
 	// isolated is the last result of checkIsolated: a network partition separates this
 	// host from most targets.
 	isolated atomic.Bool
@@ -136,6 +135,7 @@
 	h.paths, h.relayer, h.endChecks = newPathMonitor(h), newRelayer(h), &endChecks{host: h}
 	h.quarantine = newQuarantiner(h, env.Site.Quarantine)
 	h.transfers = newTransfers(h.transferLimits())
+	h.stops = newStops(env.Site.Host, h.log)
 	if err := h.openSockets(); err != nil {
 		return nil, err
 	}
@@ -176,6 +176,7 @@
 	h.dispatcher.handlers = h.datagramHandlers()
 	h.dispatcher.view = h.views.view
 	h.dispatcher.onLimited = h.handleLimited
+	h.dispatcher.onLeave = h.handleLeave
 	h.dispatcher.coldBound = h.coldBound
 	h.dispatcher.onLimitChange = h.countLimitChange
 	h.dispatcher.onResent = h.metrics.countResent
@@ -358,6 +359,7 @@
 		if incarnations[m.Name] != m.Incarnation {
 			incarnations[m.Name] = m.Incarnation
 			h.dispatcher.hostRestarted(m.Name)
+			h.stops.end(m.Name)
 		}
 	}
 	h.dispatcher.refresh(now, v)
--- a/internal/host/job.go
+++ b/internal/host/job.go
@@ -96,9 +96,10 @@
 	tableAge time.Duration
 	// cold is set if the key is still slow at its owner according to the table.
 	cold bool
-	// relayed is set if another host passed the request to this one, relayedTo is the host
-	// that this one passed it to.
+	// relayed is set if another host, from, passed the request to this one, relayedTo is the
+	// host that this one passed it to.
 	relayed   bool
+	from      place.Host
 	relayedTo place.Host
 	// roomID identifies the room of a large response, zero if there is none, and roomWait is
 	// how long the request waited for it.
@@ -127,15 +128,21 @@
 // run processes the request until it has a result. ctx ends when the client
 // disconnects.
 func (j *job) run(ctx context.Context) outcome.Result {
+	wait, leave := j.host.stops.join(ctx, time.Now(), j)
+	defer leave()
 	if j.route.Large {
-		return j.runLarge(ctx)
+		return j.runLarge(ctx, wait)
 	}
-	return j.runAttempts(ctx)
+	return j.runAttempts(ctx, wait)
 }
 
-// runAttempts makes attempts until the request has a result.
-func (j *job) runAttempts(ctx context.Context) outcome.Result {
+// runAttempts makes attempts until the request has a result. wait ends with ctx, and when the
+// request may no longer be sent; an attempt that is in progress then goes on.
+func (j *job) runAttempts(ctx, wait context.Context) outcome.Result {
 	for {
+		if wait.Err() != nil {
+			return j.finalResult(j.cutShort(wait).result)
+		}
 		now := time.Now()
 		if j.deadline.Sub(now) < minSendTime {
 			return j.finalResult(j.deadlineExceeded())
@@ -144,29 +151,26 @@
 			return j.finalResult(j.quarantined())
 		}
 		v := j.host.views.view()
-		switch s := j.try(ctx, now, v).(type) {
+		switch s := j.try(ctx, wait, now, v).(type) {
 		case finishStep:
 			return j.finalResult(s.result)
 		case retryStep:
-			if s.pause > 0 && !j.pause(ctx, v, s.pause) {
-				return j.finalResult(outcome.NotRunFailure{Reason: outcome.CallerGone})
+			if s.pause > 0 {
+				j.pause(wait, v, s.pause)
 			}
 		}
 	}
 }
 
-// pause waits for a newer view, at most for d. It returns false if the client
-// disconnected.
-func (j *job) pause(ctx context.Context, v *view, d time.Duration) bool {
+// pause waits for a newer view, at most for d or until wait ends.
+func (j *job) pause(wait context.Context, v *view, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
-	case <-ctx.Done():
-		return false
+	case <-wait.Done():
 	case <-v.replaced:
 	case <-timer.C:
 	}
-	return true
 }
 
 // quarantined returns the result of a request under which targets have ended.
@@ -182,18 +186,18 @@
 }
 
 // try makes one attempt.
-func (j *job) try(ctx context.Context, now time.Time, v *view) step {
+func (j *job) try(ctx, wait context.Context, now time.Time, v *view) step {
 	pool, owner, s := j.resolve(now, v)
 	if s != nil {
 		return s
 	}
 	if j.needsRelay(v, owner) {
-		return j.relay(ctx, now, owner)
+		return j.relay(ctx, wait, now, owner)
 	}
-	if s := j.shareConnection(ctx, now, v, owner); s != nil {
+	if s := j.shareConnection(ctx, wait, now, v, owner); s != nil {
 		return s
 	}
-	placed, s := j.acquireTicket(ctx, now, v, pool, owner)
+	placed, s := j.acquireTicket(wait, now, v, pool, owner)
 	if s != nil {
 		return s
 	}
@@ -225,6 +229,9 @@
 		j.parkedAt = now
 	}
 	j.parked = now.Sub(j.parkedAt)
+	if j.waitsBeyondStop(now, now.Add(wait)) {
+		return dispatch.PoolID{}, "", j.stopped()
+	}
 	maxPark := time.Duration(maxParkShare * float64(j.deadline.Sub(j.arrived)))
 	if j.parked >= maxPark || j.parked+wait > maxPark {
 		return dispatch.PoolID{}, "", finishStep{outcome.NotRunFailure{
@@ -250,16 +257,17 @@
 }
 
 // acquireTicket waits for a slot.
-func (j *job) acquireTicket(ctx context.Context, now time.Time, v *view, pool dispatch.PoolID, owner place.Target) (placed ticket, s step) {
+func (j *job) acquireTicket(wait context.Context, now time.Time, v *view, pool dispatch.PoolID, owner place.Target) (placed ticket, s step) {
 	d := j.host.dispatcher
 	j.pool = pool
 	tried := j.tried
 	if owner == "" {
 		tried = append(j.excluded(now, v.remaining[j.service.Name]), tried...)
 	}
+	timeout, softTimeout := j.host.stops.timeouts(now, j)
 	id, reply := d.acquire(now, dispatch.Acquire{
 		Pool: pool, Class: j.route.Name, Priority: j.route.Priority,
-		Timeout: j.deadline.Sub(now), SoftTimeout: j.softDeadline.Sub(now), Excluded: tried, Cold: j.cold,
+		Timeout: timeout, SoftTimeout: softTimeout, Excluded: tried, Cold: j.cold,
 		Fingerprint: j.fingerprint, Watch: d.Watch(now, j.fingerprint),
 	})
 	timer := time.NewTimer(j.waitEnd(now, v, owner).Sub(now))
@@ -268,11 +276,11 @@
 		select {
 		case end := <-reply:
 			return j.handleReply(now, id, end, owner)
-		case <-ctx.Done():
+		case <-wait.Done():
 			if d.cancel(time.Now(), id) {
-				return ticket{}, finishStep{outcome.NotRunFailure{Reason: outcome.CallerGone}}
+				return ticket{}, j.cutShort(wait)
 			}
-			return j.returnTicket(id, (<-reply).Message), finishStep{outcome.NotRunFailure{Reason: outcome.CallerGone}}
+			return j.returnTicket(id, (<-reply).Message), j.cutShort(wait)
 		case now := <-timer.C:
 			end := step(finishStep{j.deadlineExceeded()})
 			if now.Before(j.deadline) {
@@ -348,6 +356,9 @@
 		if m.Reason == dispatch.ReasonNoTarget && j.poolEvacuated(j.host.views.view()) {
 			return ticket{}, retryStep{}
 		}
+		if m.Reason != dispatch.ReasonNoTarget && j.host.stops.shortens(j) {
+			return ticket{}, j.stopped() // another host may wait until the deadline
+		}
 		reason := outcome.Overload
 		if m.Reason == dispatch.ReasonNoTarget {
 			reason = outcome.Unreachable
@@ -430,6 +441,7 @@
 	}
 	if _, ok := result.(forward.Completed); ok {
 		h.quarantine.served(time.Now(), j)
+		h.stops.times.Record(j.route.Name, took)
 	}
 	return j.handleAttempt(ctx, t, result)
 }
--- a/internal/host/path_test.go
+++ b/internal/host/path_test.go
@@ -367,7 +367,7 @@
 		t.Run(name, func(t *testing.T) {
 			in := in
 			in.Config = test.version
-			_, result := h.relayer.newJob(&in, time.Now())
+			_, result := h.relayer.newJob(&in, "host-9", time.Now())
 			if test.want == "" {
 				assert.Assert(t, result == nil, "%v", result)
 				return
--- a/internal/host/relayer.go
+++ b/internal/host/relayer.go
@@ -178,7 +178,7 @@
 
 // relay passes the request to another host and returns its result. target is the owner of
 // the key, empty for a keyless service.
-func (j *job) relay(ctx context.Context, now time.Time, target place.Target) step {
+func (j *job) relay(ctx, wait context.Context, now time.Time, target place.Target) step {
 	unreachable := finishStep{outcome.NotRunFailure{Reason: outcome.Unreachable, RetryAfter: relayPause}}
 	r, v := j.host.relayer, j.host.views.view()
 	switch {
@@ -200,6 +200,9 @@
 		if !r.responds(ctx, now, m) {
 			continue
 		}
+		if wait.Err() != nil {
+			return j.cutShort(wait)
+		}
 		if result, _ := j.relayTo(ctx, now, m); result != nil {
 			if f, ok := result.(outcome.NotRunFailure); ok && target != "" && f.Reason == outcome.Unreachable {
 				r.pauseTarget(time.Now(), target)
@@ -208,6 +211,9 @@
 			return finishStep{result}
 		}
 	}
+	if wait.Err() != nil {
+		return j.cutShort(wait)
+	}
 	j.host.metrics.countRelay(j.service.Name, "none")
 	if target != "" {
 		r.pauseTarget(time.Now(), target)
@@ -291,7 +297,7 @@
 		r.host.log.Warn("Request of another host not decodable.", slog.String("from", string(from.Host)), slog.Any("error", err))
 		return nil, err
 	}
-	j, result := r.newJob(&in, start)
+	j, result := r.newJob(&in, from.Host, start)
 	if result == nil {
 		defer j.releaseMemory()
 		result = j.run(ctx)
@@ -310,7 +316,7 @@
 
 // newJob returns the job of a request that another host passed on. It returns a result if
 // the request ends here. Requests are counted by the host that got them from their clients.
-func (r *relayer) newJob(in *relay.Request, now time.Time) (*job, outcome.Result) {
+func (r *relayer) newJob(in *relay.Request, from place.Host, now time.Time) (*job, outcome.Result) {
 	h, v := r.host, r.host.views.view()
 	if h.stopping.Load() || v.routes == nil || v.awaitsEvacuations || v.routes.Config().Version < in.Config {
 		return nil, outcome.NotRunFailure{Reason: reasonNoPath}
@@ -331,7 +337,7 @@
 		return nil, outcome.NotRunFailure{Reason: reasonNoPath}
 	}
 	j := &job{
-		host: h, route: route, service: service, arrived: now, config: v.routes.Config().Version, relayed: true, reservedBytes: int64(len(in.Body)),
+		host: h, route: route, service: service, arrived: now, config: v.routes.Config().Version, relayed: true, from: from, reservedBytes: int64(len(in.Body)),
 		deadline: now.Add(in.Timeout), softDeadline: now.Add(in.SoftTimeout), attempts: in.Attempts, arrivals: in.Arrivals,
 		refusals: in.Arrivals, // the passing host corrects the result by its own attempts
 	}
--- a/internal/host/servers.go
+++ b/internal/host/servers.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"citrontray.example/citrontray/internal/ingress"
+	"citrontray.example/citrontray/internal/place"
+	"citrontray.example/citrontray/internal/shutdown"
 )
 
 const (
@@ -24,8 +26,6 @@
 	// stopIdleTimeout is how long idle connections are kept during a graceful stop, so
 	// that a request in transit is still accepted.
 	stopIdleTimeout = 1200 * time.Millisecond
-	// stopMargin is the part of the grace period reserved for the end of the process.
-	stopMargin = 700 * time.Millisecond
 )
 
 // servers holds the HTTP servers of a host.
@@ -110,40 +110,28 @@
 
 func (s *servers) close() error { return errors.Join(s.front.Close(), s.ready.Close()) }
 
-// stopSchedule is the course of a graceful stop.
-type stopSchedule struct {
-	// lateFrom is when the host begins to refuse requests that may not end in time, end when
-	// it aborts those in flight.
-	lateFrom, end time.Time
-}
-
-// lateShare is the share of the grace period after which requests that may last longer than
-// the rest of it are refused. Until then the load balancer may still send clients here.
-const lateShare = 0.5
-
-// refuses reports whether a request with the deadline comes too late in the stop.
-func (s *stopSchedule) refuses(now, deadline time.Time) bool {
-	return s != nil && now.After(s.lateFrom) && deadline.After(s.end)
-}
-
 // shutdown shuts the host down gracefully: it reports not ready, asks clients to close
 // their connections, lets requests in flight finish and hands over leadership.
 func (h *Host) shutdown(ctx context.Context, s *servers, stopControllers context.CancelFunc) error {
 	start := time.Now()
 	grace := h.bounds.Load().Grace
 	h.log.Info("Stopping.", millisAttr("grace", grace))
-	h.stop.Store(&stopSchedule{lateFrom: start.Add(time.Duration(lateShare * float64(grace))), end: start.Add(grace - stopMargin)})
+	schedule := shutdown.New(start, grace)
 	h.stopping.Store(true)
-	s.front.Drain(stopIdleTimeout)
-	h.dispatcher.announceStop(h.views.view().members.Hosts)
-	end := start.Add(grace - stopMargin)
-	stopCtx, cancel := context.WithDeadline(ctx, end)
+	h.stops.begin(start, h.site.Host, schedule)
+	s.front.Drain(stopIdleTimeout, schedule.ResponseEnd())
+	h.dispatcher.announceStop(start, schedule.ResponseEnd(), h.views.view().members.Hosts)
+	stopCtx, cancel := context.WithDeadline(ctx, schedule.End())
 	defer cancel()
 	// The load balancer notices after two probes a second apart. Until then new
 	// connections are still accepted.
 	sleep(stopCtx, min(stopAcceptTime, grace/2))
-	if err := s.front.Shutdown(stopCtx); err != nil {
-		h.log.Warn("Requests aborted at the end of the stop.", slog.Any("error", err))
+	if s.front.Shutdown(stopCtx) != nil {
+		flushCtx, cancel := context.WithDeadline(ctx, schedule.FlushEnd())
+		defer cancel()
+		if aborted := s.front.Abort(flushCtx); aborted > 0 {
+			h.log.Warn("Requests aborted at the end of the stop.", slog.Int("requests", aborted))
+		}
 	}
 	h.relayer.awaitServed(stopCtx)
 	h.awaitSuccessors(stopCtx)
@@ -152,6 +140,12 @@
 	return s.close()
 }
 
+// handleLeave bounds the requests of a host that stops and passed them to this one.
+func (h *Host) handleLeave(from place.Host) {
+	now := time.Now()
+	h.stops.begin(now, from, shutdown.New(now, h.bounds.Load().Grace))
+}
+
 // stopAcceptTime is how long a stopping host accepts new connections: two probes of the
 // load balancer a second apart, and the transit of a connection.
 const stopAcceptTime = 2500 * time.Millisecond
--- a/internal/host/sharing.go
+++ b/internal/host/sharing.go
@@ -29,7 +29,7 @@
 // shareConnection passes an idempotent request to the host that keeps connections to the
 // owner of the key. It returns nil if this host is to send the request itself. Only idempotent
 // requests are passed on, as one without a result from the other host is sent again.
-func (j *job) shareConnection(ctx context.Context, now time.Time, v *view, owner place.Target) step {
+func (j *job) shareConnection(ctx, wait context.Context, now time.Time, v *view, owner place.Target) step {
 	if owner == "" || j.shared || j.relayed || j.arrivals > 0 || !j.host.site.Pressure || !j.route.Idempotent || j.route.Large {
 		return nil
 	}
@@ -44,7 +44,7 @@
 		return nil
 	}
 	j.shared = true
-	if !j.host.relayer.responds(ctx, now, m) {
+	if !j.host.relayer.responds(ctx, now, m) || wait.Err() != nil {
 		return retryStep{}
 	}
 	result, reported := j.relayTo(ctx, time.Now(), m)
--- a/internal/host/transfers.go
+++ b/internal/host/transfers.go
@@ -41,17 +41,17 @@
 
 // runLarge processes a request for a large response. Its room is kept until the response was
 // written, see releaseMemory.
-func (j *job) runLarge(ctx context.Context) outcome.Result {
-	if refusal := j.acquireRoom(ctx); refusal != nil {
+func (j *job) runLarge(ctx, wait context.Context) outcome.Result {
+	if refusal := j.acquireRoom(wait); refusal != nil {
 		return refusal
 	}
-	result := j.runAttempts(ctx)
+	result := j.runAttempts(ctx, wait)
 	j.host.transfers.complete(time.Now(), j, result)
 	return result
 }
 
 // acquireRoom waits for room. It returns a result if the request ends here.
-func (j *job) acquireRoom(ctx context.Context) outcome.Result {
+func (j *job) acquireRoom(wait context.Context) outcome.Result {
 	t, now := j.host.transfers, time.Now()
 	end := j.deadline
 	if j.route.LatencyObjective > 0 && j.softDeadline.Before(end) {
@@ -61,14 +61,14 @@
 	defer func() { j.roomWait = time.Since(now) }()
 	decision, admitted := t.ask(now, j, until)
 	if _, queued := decision.(transfer.Queued); queued {
-		decision = t.await(ctx, j.roomID, until, admitted)
+		decision = t.await(wait, j.roomID, until, admitted)
 	}
 	switch d := decision.(type) {
 	case transfer.Refused:
 		j.host.metrics.countTransferRefusal(j.service.Name)
 		return outcome.NotRunFailure{Reason: outcome.Overload, RetryAfter: d.RetryAfter}
 	case transfer.Queued:
-		return outcome.NotRunFailure{Reason: outcome.CallerGone}
+		return j.cutShort(wait).result
 	case transfer.Admitted:
 	}
 	return nil
@@ -89,8 +89,8 @@
 	return decision, admitted
 }
 
-// await waits until a queued request is admitted or refused. It returns Queued if the client
-// disconnected before.
+// await waits until a queued request is admitted or refused. It returns Queued if ctx ends
+// before.
 func (t *transfers) await(ctx context.Context, id transfer.ID, until time.Time, admitted <-chan struct{}) transfer.Decision {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -86,10 +86,7 @@
 			return 0, err
 		}
 	}
-	if err := b.conn.SetReadDeadline(time.Now().Add(bodyReadTimeout)); err != nil {
-		b.end(err)
-		return 0, err
-	}
+	b.conn.awaitBody()
 	n, err := b.src.Read(p)
 	if errors.Is(err, io.EOF) && b.chunked {
 		if trailerErr := skipTrailer(b.conn.br); trailerErr != nil {
@@ -106,7 +103,7 @@
 func (b *body) end(err error) {
 	b.err = err
 	b.once.Do(func() {
-		_ = b.conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+		b.conn.endBody()
 		close(b.done)
 	})
 }
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -45,10 +45,10 @@
 	// queue holds the accepted requests whose response was not written yet, oldest
 	// first.
 	queue []*exchange
-	// reading is set while a request is read, writing while a goroutine writes
-	// responses, closing once no more requests are accepted, broken once a write
-	// failed.
-	reading, writing, closing, broken bool
+	// reading is set while a request is read, waiting while one that was read waits for
+	// those before it, inBody while a body is read, writing while a goroutine writes
+	// responses, closing once no more requests are accepted, broken once a write failed.
+	reading, waiting, inBody, writing, closing, broken bool
 	// progress gets a token when a response was written.
 	progress chan struct{}
 }
@@ -189,6 +189,43 @@
 	return c.closing
 }
 
+// awaitBody sets the time until which the next bytes of a body are awaited.
+func (c *conn) awaitBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inBody = true
+	c.setReadDeadline(c.server.bodyDeadline(time.Now()))
+}
+
+// endBody records that no body is read any more.
+func (c *conn) endBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inBody = false
+	c.setReadDeadline(time.Time{})
+}
+
+// limitBody bounds the reading of a body when the server begins to drain.
+func (c *conn) limitBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inBody {
+		c.setReadDeadline(c.server.bodyDeadline(time.Now()))
+	}
+}
+
+// abort closes the connection if a request has no response yet, and reports whether it did.
+func (c *conn) abort() bool {
+	c.mu.Lock()
+	pending := len(c.queue) > 0 && !c.queue[0].answered
+	c.mu.Unlock()
+	if pending {
+		c.cancel()
+		_ = c.Close() // the other side may have closed it first
+	}
+	return pending
+}
+
 // enqueue appends a request to the queue as soon as it may run concurrently with those
 // before it. It returns false if the connection closes after one of those: the request
 // does not run, and the client sends it again.
@@ -202,11 +239,14 @@
 			return false
 		case n == 0, n < maxPipelined && x.concurrent && c.queue[n-1].concurrent:
 			c.queue = append(c.queue, x)
-			c.reading, c.closing = false, x.closeAfter
+			// A request that waited while the server began to drain is the last one.
+			c.reading, c.closing = false, x.closeAfter || c.waiting && c.server.draining()
+			c.waiting = false
 			c.setReadDeadline(time.Time{})
 			c.mu.Unlock()
 			return true
 		}
+		c.waiting = true
 		c.mu.Unlock()
 		select {
 		case <-c.progress:
@@ -227,8 +267,8 @@
 	for len(c.queue) > 0 && c.queue[0].answered {
 		x := c.queue[0]
 		// While the server drains, no more requests are accepted. The connection
-		// closes after the last accepted one, never before one that runs.
-		c.closing = c.closing || c.server.draining()
+		// closes after the last accepted one, never before one that runs or was read.
+		c.closing = c.closing || c.server.draining() && !c.waiting
 		x.closeAfter = c.closing && len(c.queue) == 1
 		c.mu.Unlock()
 		err := c.write(x)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -55,8 +55,10 @@
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[*conn]struct{}
-	// drainIdle is the idle timeout while the server drains, zero before.
+	// drainIdle is the idle timeout while the server drains, zero before, and readUntil until
+	// when bodies are read then.
 	drainIdle time.Duration
+	readUntil time.Time
 	closed    bool
 	work      sync.WaitGroup
 }
@@ -131,17 +133,29 @@
 }
 
 // Drain begins to drain the server. New connections are still served. Connections
-// without a request are kept for idle, so that a request in transit is still accepted.
-func (s *Server) Drain(idle time.Duration) {
+// without a request are kept for idle, so that a request in transit is still accepted. A body
+// that has not been read by readUntil fails, so that its request can still be answered.
+func (s *Server) Drain(idle time.Duration, readUntil time.Time) {
 	s.mu.Lock()
-	s.drainIdle = idle
+	s.drainIdle, s.readUntil = idle, readUntil
 	open := s.openConns()
 	s.mu.Unlock()
 	for _, c := range open {
 		c.startIdle(idle)
+		c.limitBody()
 	}
 }
 
+// bodyDeadline returns until when the next bytes of a body are awaited.
+func (s *Server) bodyDeadline(now time.Time) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if until := now.Add(bodyReadTimeout); s.readUntil.IsZero() || until.Before(s.readUntil) {
+		return until
+	}
+	return s.readUntil
+}
+
 // openConns returns the open connections. The caller holds mu.
 func (s *Server) openConns() []*conn {
 	out := make([]*conn, 0, len(s.conns))
@@ -173,6 +187,46 @@
 	}
 }
 
+// Abort closes the connections with a request that has no response yet and returns their
+// number. Then it waits until the clients of the others have read their responses or ctx ends.
+func (s *Server) Abort(ctx context.Context) int {
+	s.mu.Lock()
+	open := s.openConns()
+	s.mu.Unlock()
+	aborted := make(map[*conn]bool)
+	for _, c := range open {
+		if c.abort() {
+			aborted[c] = true
+		}
+	}
+	ticker := time.NewTicker(abortCheckInterval)
+	defer ticker.Stop()
+	for s.openBeside(aborted) {
+		select {
+		case <-ctx.Done():
+			return len(aborted)
+		case <-ticker.C:
+		}
+	}
+	return len(aborted)
+}
+
+// abortCheckInterval is the time between two checks of Abort for connections that are open.
+const abortCheckInterval = 10 * time.Millisecond
+
+// openBeside reports whether any other connections than the aborted ones are open. Those end
+// with their handlers, some of which can't be canceled.
+func (s *Server) openBeside(aborted map[*conn]bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if !aborted[c] {
+			return true
+		}
+	}
+	return false
+}
+
 // Close closes the listener and all connections at once.
 func (s *Server) Close() error {
 	s.mu.Lock()
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -419,7 +419,7 @@
 		}()
 	}
 	time.Sleep(2 * shortWait)
-	s.Drain(shortWait)
+	s.Drain(shortWait, time.Now().Add(time.Minute))
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	time.Sleep(shortWait)
@@ -431,6 +431,74 @@
 	assert.Assert(t, answered.Load() > 0)
 }
 
+// TestDrainAnswersWhatWasRead: while a server drains, a request that was read but waits behind
+// another one on its connection is answered, and announces the connection's end.
+func TestDrainAnswersWhatWasRead(t *testing.T) {
+	s := serve(t)
+	c := s.dial()
+	c.send(post("/alone/wait", "x") + post("/alone/behind", "y"))
+	s.expectStarted("/alone/wait")
+	time.Sleep(shortWait) // until the second head was read
+	s.Drain(time.Second, time.Now().Add(time.Minute))
+	close(s.gate("/alone/wait"))
+	assert.Assert(t, !c.expectResponse(http.StatusOK, "POST /alone/wait x"))
+	assert.Assert(t, c.expectResponse(http.StatusOK, "POST /alone/behind y"))
+	c.expectClosed()
+}
+
+// TestDrainEndsBodies: a request whose body is still being read when a server drains is answered
+// once bodies are no longer read.
+func TestDrainEndsBodies(t *testing.T) {
+	for name, drainFirst := range map[string]bool{"drain begins while it is read": false, "drain has begun": true} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t)
+			drain := func() { s.Drain(time.Second, time.Now().Add(4*shortWait)) }
+			if drainFirst {
+				drain()
+			}
+			c := s.dial()
+			c.send("POST /alone/half HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nhalf")
+			s.expectStarted("/alone/half")
+			if !drainFirst {
+				drain()
+			}
+			start := time.Now()
+			assert.Assert(t, c.expectResponse(http.StatusBadRequest, ""))
+			assert.Assert(t, time.Since(start) < bodyReadTimeout/2)
+		})
+	}
+}
+
+// TestAbort: the connections of requests without a response are closed, those whose client has
+// not read its response yet are not.
+func TestAbort(t *testing.T) {
+	s := serve(t)
+	running, answered := s.dial(), s.dial()
+	running.send(post("/alone/run/wait", "x"))
+	s.expectStarted("/alone/run/wait")
+	large := strings.Repeat("x", 8<<20)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		answered.send(post("/alone/large", large)) // echoed, and not read yet
+	}()
+	s.expectStarted("/alone/large")
+	<-written
+	s.Drain(time.Second, time.Now().Add(time.Minute))
+	time.Sleep(4 * shortWait) // until the response is being written
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	aborted := make(chan int, 1)
+	go func() { aborted <- s.Abort(ctx) }()
+	running.expectClosed()
+	answered.expectResponse(http.StatusOK, "POST /alone/large "+large)
+	answered.expectClosed()
+	assert.NilError(t, answered.Close())
+	close(s.gate("/alone/run/wait"))
+	assert.Equal(t, <-aborted, 1)
+	assert.NilError(t, ctx.Err())
+}
+
 // TestHandlerClosesConnection checks that the connection closes after a response with
 // Connection: close, and that later requests on it do not run.
 func TestHandlerClosesConnection(t *testing.T) {
