--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -37,6 +37,8 @@
 	writeBuf []byte
 	request  http.Request // for http.ReadResponse: the method of the current request
 	broken   bool
+	// upload writes the request that is being sent while its response is read, nil if none is.
+	upload *bodyWriter
 	// idleSince is when the last request ended; zero for a new connection.
 	idleSince time.Time
 	// idleTimeout is the time after which the target closes the idle connection, as the
@@ -152,11 +154,7 @@
 	if r.HeaderNames != nil {
 		return c.roundTripUnsharded(r)
 	}
-	c.writeBuf = append(c.writeBuf, r.Body...)
-	n, err := c.Write(c.writeBuf)
-	if cap(c.writeBuf) > readBufferBytes {
-		c.writeBuf = nil // don't keep a large body's buffer
-	}
+	n, err := c.writeRequest(r.Body)
 	if err != nil && n == 0 {
 		return NotSent{Err: err}
 	}
--- a/internal/forward/unsharded.go
+++ b/internal/forward/unsharded.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"time"
 
 	"citrontray.example/citrontray/internal/outcome"
@@ -23,6 +24,7 @@
 	errOtherRequest    = errors.New("forward: response to another request")
 	errContentEncoding = errors.New("forward: response has a content encoding that was not requested")
 	errNoStamp         = errors.New("forward: successful response without the target's stamp")
+	errReset           = errors.New("forward: connection was reset before the end of a response without a length")
 	errMarkedSuccess   = errors.New("forward: successful response that states that the request did not run")
 )
 
@@ -34,12 +36,14 @@
 		}
 		return c.readUnsharded(r)
 	}
-	w := &bodyWriter{conn: c, body: r.Body, done: make(chan Result, 1)}
+	w := &bodyWriter{conn: c, body: r.Body, done: make(chan struct{})}
 	go w.run()
+	c.upload = w
 	result := c.readUnsharded(r)
+	c.upload = nil
 	select {
-	case failure := <-w.done:
-		if failure != nil {
+	case <-w.done:
+		if w.err != nil {
 			c.broken = true
 		}
 	default:
@@ -52,19 +56,46 @@
 type bodyWriter struct {
 	conn *conn
 	body []byte
-	done chan Result
+	// err is the error of the write. It is set before done is closed.
+	err  error
+	done chan struct{}
 }
 
-func (w *bodyWriter) run() { w.done <- w.conn.write(w.body) }
+func (w *bodyWriter) run() {
+	defer close(w.done)
+	_, w.err = w.conn.writeRequest(w.body)
+}
+
+// stop ends the write and returns its error, nil if it has not failed by itself.
+func (w *bodyWriter) stop() error {
+	if err := w.conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return err
+	}
+	<-w.done
+	if errors.Is(w.err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return w.err
+}
+
+// checkEnd returns an error unless the target has ended the connection properly, after a read
+// has returned its end. A reset is reported to one user of a connection only: if the writer of
+// the body gets it, the reader of the response meets an end instead. So the write must not have
+// failed.
+func (c *conn) checkEnd() error {
+	if c.upload == nil {
+		return nil // the reader would have got the reset
+	}
+	if err := c.upload.stop(); err != nil {
+		return fmt.Errorf("%w: %w", errReset, err)
+	}
+	return nil
+}
 
 // write sends the head, which is in c.writeBuf, and the body. It returns nil if all was
 // sent, else the failure.
 func (c *conn) write(body []byte) Result {
-	c.writeBuf = append(c.writeBuf, body...)
-	n, err := c.Write(c.writeBuf)
-	if cap(c.writeBuf) > readBufferBytes {
-		c.writeBuf = nil // don't keep a large body's buffer
-	}
+	n, err := c.writeRequest(body)
 	switch {
 	case err == nil:
 		return nil
@@ -74,6 +105,16 @@
 	return uncertain(outcome.SendCut, err)
 }
 
+// writeRequest sends the head, which is in c.writeBuf, and the body.
+func (c *conn) writeRequest(body []byte) (int, error) {
+	c.writeBuf = append(c.writeBuf, body...)
+	n, err := c.Write(c.writeBuf)
+	if cap(c.writeBuf) > readBufferBytes {
+		c.writeBuf = nil // don't keep a large body's buffer
+	}
+	return n, err
+}
+
 // readUnsharded reads the response to r, which carries its id. A refusal without an id
 // is accepted only if the request may run twice, as the target may have written it before it
 // read the request, and only on a connection without earlier requests; otherwise it could be
@@ -121,6 +162,11 @@
 	if failure != nil {
 		return failure
 	}
+	if !framed(resp) {
+		if err := c.checkEnd(); err != nil {
+			return Uncertain{Reason: outcome.AnswerCut, Err: err}
+		}
+	}
 	c.broken = stale || resp.Close || !framed(resp) || c.br.Buffered() > 0
 	if resp.StatusCode < http.StatusBadRequest && refused(resp, r.HeaderNames) {
 		c.broken = true
