A closing connection is read while its client still sends

Closing a connection with unread bytes resets it. Now each byte extends the time, up to 30 s as for a response that is being written; a graceful stop still closes such connections at its end.

TestSlowUploadGetsResponse fails before (broken pipe), and passes now.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -366,17 +366,25 @@
 	return !c.broken && !errors.Is(err, errIdle)
 }
 
-// linger ends the sending side and reads on, up to lingerTimeout, until the client has
-// closed the connection. An immediate close could destroy the last response.
+// linger ends the sending side and reads on until the client has closed the connection or
+// sends nothing more. An immediate close could destroy the last response.
 func (c *conn) linger() {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok || half.CloseWrite() != nil {
 		return
 	}
-	c.mu.Lock()
-	c.setReadDeadline(time.Now().Add(lingerTimeout))
-	c.mu.Unlock()
-	_, _ = io.Copy(io.Discard, c.Conn) // until the client closes or the deadline passes
+	for end := time.Now().Add(maxLinger); ; {
+		until := time.Now().Add(lingerTimeout)
+		if until.After(end) {
+			until = end
+		}
+		c.mu.Lock()
+		c.setReadDeadline(until)
+		c.mu.Unlock()
+		if _, err := c.br.Discard(max(c.br.Buffered(), 1)); err != nil {
+			return
+		}
+	}
 }
 
 // statusLine returns the status line of a response.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -22,9 +22,12 @@
 	// writeTimeout bounds the time to write one response to a client that does not
 	// read.
 	writeTimeout = 30 * time.Second
-	// lingerTimeout is how long a closing connection is still read. Closing it with
-	// unread bytes would reset it, and the last response might be lost.
+	// lingerTimeout is how long a closing connection is still read without receiving a byte,
+	// maxLinger how long at most: a client may read its response only once it has sent the
+	// whole request. Closing the connection with unread bytes would reset it, and the last
+	// response might be lost.
 	lingerTimeout = 500 * time.Millisecond
+	maxLinger     = writeTimeout
 	// minAcceptBackoff and maxAcceptBackoff bound the backoff after a failed accept,
 	// for example if the process has no file descriptor left.
 	minAcceptBackoff = 5 * time.Millisecond
--- a/internal/ingress/unread_test.go
+++ b/internal/ingress/unread_test.go
@@ -1,10 +1,12 @@
 package ingress
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -28,3 +30,18 @@
 		assert.NilError(t, c.Close())
 	}
 }
+
+// TestSlowUploadGetsResponse: a client that reads the response to an upload only once it has sent
+// it whole gets the response, though the handler has not read the body.
+func TestSlowUploadGetsResponse(t *testing.T) {
+	const parts = 8
+	part := strings.Repeat("x", 64<<10)
+	c := serve(t).dial()
+	c.send(fmt.Sprintf("POST /unread HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", parts*len(part)))
+	for range parts {
+		time.Sleep(lingerTimeout / 4)
+		c.send(part)
+	}
+	assert.Assert(t, c.expectResponse(http.StatusRequestEntityTooLarge, ""))
+	c.expectClosed()
+}
