A leader takes its next term before the tokens of a term run out (OWNER)

Cause: Term.fence counted into the tokens of the next terms.

Change: with a quarter of the tokens left the leader records the next term in the store by a write of its document, under the conditions of all its writes, and keeps its lease and ranges. Without a token it grants nothing that needs one. If owners refuse two tokens in a row, it takes a later term.

--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -77,6 +77,9 @@
 	// SettleTime is the time without a new target after which a service gets its first
 	// owners.
 	SettleTime time.Duration
+	// FencesPerTerm is the number of fencing tokens of a term, zero for the usual one. All
+	// leaders of a service need the same.
+	FencesPerTerm uint64
 }
 
 // maxClockDrift bounds how much slower than this host's clock a target's clock runs, as
@@ -200,6 +203,10 @@
 	// leaseEnd is when this leader's lease ends, by its own clock.
 	leaseEnd  time.Time
 	lastFence uint64
+	// outranked is set once targets refuse the tokens of the term, and termSteps counts the terms
+	// that were taken for that.
+	outranked bool
+	termSteps uint
 	sequence  uint64
 	// publishedAt is when the newest table was made.
 	publishedAt time.Time
@@ -279,8 +286,9 @@
 	}
 	if c.leading && doc.Term == c.term+1 && c.pending == nil && !c.termLost {
 		// No other host led in between, so the state is still valid.
-		c.term, c.revision, c.leaseEnd = doc.Term, revision, leaseEnd
-		c.changed, c.docFlagged = true, doc.flagged()
+		c.revision, c.leaseEnd = revision, leaseEnd
+		c.takeTerm(doc.Term)
+		c.docFlagged = doc.flagged()
 		return
 	}
 	c.reset()
@@ -382,7 +390,7 @@
 // reset drops the state of a term.
 func (c *Core) reset() {
 	c.leading, c.stopping, c.pending, c.rows = false, false, nil, nil
-	c.lastFence = 0
+	c.lastFence, c.outranked, c.termSteps = 0, false, 0
 	c.targetConns = make(map[place.Target]*targetConn)
 	c.plannedAt, c.rebalancedAt = time.Time{}, time.Time{}
 	c.priorMayRenewUntil, c.priorInTransitUntil, c.priorExpiresBy = time.Time{}, time.Time{}, time.Time{}
--- a/internal/owner/doc.go
+++ b/internal/owner/doc.go
@@ -36,15 +36,10 @@
 // Era returns the era of the store in which a term began.
 func (t Term) Era() platform.Era { return platform.Era(t / termsPerEra) }
 
-// fencesPerTerm is the number of fencing tokens reserved for each term. Tokens of a
+// defaultFencesPerTerm is the number of fencing tokens reserved for each term. Tokens of a
 // later term are higher than all of an earlier one, so a leader takes a new token
 // without a write to the store.
-const fencesPerTerm = 1 << 20
-
-// fence returns the n-th fencing token of a term.
-func (t Term) fence(n uint64) target.FencingToken {
-	return target.FencingToken(uint64(t)*fencesPerTerm + n)
-}
+const defaultFencesPerTerm = 1 << 20
 
 // Doc is the stored document of a service: which target may own which range.
 type Doc struct {
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -214,13 +214,18 @@
 		if r.grantConn != tc.conn || r.acked < r.fence || r.acked <= r.unacked {
 			// There may be another incarnation of the target behind a new connection,
 			// which must not get a range with a fencing token of the one before.
-			c.lastFence++
-			r.fence = c.term.fence(c.lastFence)
+			if !c.hasFence() {
+				continue // until the leader has its next term
+			}
+			r.fence = c.nextFence()
 		}
 		r.grantConn = tc.conn
 		e.Probe = e.Probe || c.awaitsTransit(now, r)
 		e.Grants = append(e.Grants, target.Grant{Range: r.Range, FencingToken: r.fence, Duration: c.cfg.GrantDuration, Handover: r.Handover})
 	}
+	if len(e.Grants) == 0 {
+		return
+	}
 	tc.inFlight, tc.sentAt = true, now
 	if now.Sub(tc.allSentAt) >= c.renewInterval(name) {
 		tc.allSentAt = now
@@ -310,6 +315,7 @@
 		if r.acked == 0 && r.state == held {
 			c.note(now, "Range granted.", r, r.Target)
 		}
+		c.noteAccepted(r, g.FencingToken)
 		r.acked = max(r.acked, g.FencingToken)
 		if r.acked > r.unacked {
 			// The target refuses all grants that were sent before.
@@ -350,6 +356,7 @@
 func (c *Core) grantFenced(now time.Time, e SendGrants, g target.Grant) {
 	c.eachMatching(e, g, func(r *row) {
 		c.note(now, "Target has seen a higher fence.", r, "")
+		c.noteOutranked(r, g.FencingToken)
 		if now.Before(c.frozenUntil) {
 			c.markUnknown(now, r) // given by a leader that was lost in the restore
 		}
--- a/internal/owner/random_test.go
+++ b/internal/owner/random_test.go
@@ -59,6 +59,10 @@
 // of the kept seeds has this form.
 func (w *sim) hasHeldOrders() bool { return w.seed%8 == 5 }
 
+// hasFewTokens reports whether terms have few fencing tokens in a run, so that leaders take their
+// next ones all the time. None of the kept seeds has this form.
+func (w *sim) hasFewTokens() bool { return w.seed%8 == 4 }
+
 // hasForeignEntries reports whether another writer leaves entries among those of the targets
 // in a run. None of the kept seeds has this form.
 func (w *sim) hasForeignEntries() bool { return w.seed%16 == 12 }
--- a/internal/owner/restore.go
+++ b/internal/owner/restore.go
@@ -11,7 +11,7 @@
 // Until this host is elected again, and leaders that were lost in the restore can no
 // longer send orders, it only renews ranges that their owners certainly hold.
 func (c *Core) StoreRestored(now time.Time, term Term) {
-	if !c.leading || c.termLost || term != c.term {
+	if !c.leading || c.termLost || term != c.term && (c.pending == nil || term != c.pending.Term) {
 		return
 	}
 	c.termLost, c.pending = true, nil
@@ -36,7 +36,7 @@
 // host's own state.
 func (c *Core) resumeAfterRestore(now time.Time, doc Doc, revision platform.Revision, leaseEnd time.Time) {
 	c.term, c.revision, c.leaseEnd = doc.Term, revision, leaseEnd
-	c.termLost, c.docFlagged, c.lastFence = false, true, 0
+	c.termLost, c.docFlagged, c.lastFence, c.outranked = false, true, 0, false
 	c.priorMayRenewUntil = now.Add(c.cfg.LeaseTTL + c.cfg.RenewGrace)
 	c.freeze(now, now.Add(c.restoreWait()))
 }
--- a/internal/owner/rows.go
+++ b/internal/owner/rows.go
@@ -42,6 +42,8 @@
 	// unless the owner has seen a higher token.
 	acked   target.FencingToken
 	unacked target.FencingToken
+	// outranked counts the tokens of this term that the owner has refused in a row.
+	outranked int
 	// expiresBy is when the owner certainly no longer holds the range if no further
 	// grant is sent.
 	expiresBy time.Time
--- a/internal/owner/sim_test.go
+++ b/internal/owner/sim_test.go
@@ -158,6 +158,9 @@
 	c.Host, c.Incarnation = h.name, h.incarnation
 	c.GrantDuration, c.RenewInterval, c.LimitedRenewInterval = 2500*time.Millisecond, 600*time.Millisecond, 1200*time.Millisecond
 	c.WriteBatchDelay, c.MaxPublishInterval = 40*time.Millisecond, time.Second
+	if h.sim.hasFewTokens() {
+		c.FencesPerTerm = 32 << (h.sim.seed / 8 % 4)
+	}
 	return c
 }
 
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -10,11 +10,11 @@
 // outages last for seconds.
 const writeRetryDelay = 200 * time.Millisecond
 
-// writeDoc records the new owners of free ranges in the store, all in one write, and
-// clears the flags of the document that no longer hold.
+// writeDoc records the new owners of free ranges in the store, all in one write, clears the
+// flags of the document that no longer hold, and takes the next term if that is needed.
 func (c *Core) writeDoc(now time.Time) {
 	clearFlags := c.docFlagged && !now.Before(later(later(c.priorMayRenewUntil, c.priorInTransitUntil), c.frozenUntil))
-	if c.pending != nil || !c.writeDue(now) && !clearFlags || now.Sub(c.writeRefusedAt) < writeRetryDelay {
+	if c.pending != nil || !c.writeDue(now) && !clearFlags && !c.needsTerm() || now.Sub(c.writeRefusedAt) < writeRetryDelay {
 		return
 	}
 	c.docFlagged = c.docFlagged && !clearFlags
@@ -24,6 +24,9 @@
 		}
 	}
 	doc := c.Doc(now)
+	if c.needsTerm() {
+		doc.Term = c.nextTerm()
+	}
 	for i, r := range c.rows {
 		if r.state == writing {
 			t := c.targetRows[r.to]
@@ -58,6 +61,9 @@
 		return
 	}
 	c.pending, c.revision = nil, revision
+	if e.Doc.Term > c.term {
+		c.takeTerm(e.Doc.Term)
+	}
 	for _, r := range c.rows {
 		if r.state != writing {
 			continue
