A target that was too slow is tried again once its last sample is old

Callers got 503 with Retry-After of 10 to 220 s for keys of idle targets.

Cause: a home refuses a request that it doesn't expect to end in time, also when all slots are free. Its estimate multiplies the mean time of the class by the target's slowdown, which was taken against an earlier, lower mean, so that it exceeds what any request took (160 to 303 s in the logs, for work of 0.7 s). As all are refused, no sample corrects it; it only decays.

Change: an idle target without a sample for 1 s gets one request that would be refused for its estimate. If it is served, its time replaces a higher slowdown.

TestSlowTargetIsTriedAgain fails before in 2 of 3 cases.

--- a/internal/dispatch/home_test.go
+++ b/internal/dispatch/home_test.go
@@ -198,6 +198,50 @@
 	}
 }
 
+// TestSlowTargetIsTriedAgain: a target that was too slow for a deadline gets a request again once it
+// is idle and its last sample is old, one at a time. Its estimate refused all requests, so that no
+// sample corrected it.
+func TestSlowTargetIsTriedAgain(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for name, test := range map[string]struct {
+		idle  time.Duration
+		tried bool
+	}{
+		"at once":          {probeInterval / 2, false},
+		"after a while":    {probeInterval, true},
+		"after many times": {10 * time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := NewHome(&oneRow{row: place.TargetRow{Target: "t", Slots: 3, Incarnation: 2, State: place.Live}})
+			from, pool := Peer{Host: "h", Incarnation: 1}, PoolID{Service: "s"}
+			for range 20 {
+				h.Observe("c", 30*time.Millisecond)
+			}
+			ask := func(now time.Time, id TicketID, timeout time.Duration) (assigned bool) {
+				for _, m := range h.Handle(now, from, Acquire{ID: id, Pool: pool, Class: "c", Timeout: timeout, SoftTimeout: timeout}) {
+					_, ok := m.Message.(Assigned)
+					assigned = assigned || ok
+				}
+				return assigned
+			}
+			now := start
+			for id := range TicketID(20) {
+				assert.Assert(t, ask(now, id, time.Hour))
+				now = now.Add(3 * time.Second)
+				h.Handle(now, from, Done{ID: id, Pool: pool, Target: "t", Class: "c", Result: ResultServed, Took: 3 * time.Second})
+			}
+			const timeout = 100 * time.Millisecond
+			now = now.Add(test.idle)
+			assert.Equal(t, ask(now, 100, timeout), test.tried)
+			assert.Assert(t, !ask(now, 101, timeout))
+			now = now.Add(30 * time.Millisecond)
+			h.Handle(now, from, Done{ID: 100, Pool: pool, Target: "t", Class: "c", Result: ResultServed, Took: 30 * time.Millisecond})
+			assert.Equal(t, ask(now, 102, 10*time.Second), true, "by the new sample")
+			assert.Equal(t, h.pools[pool].targets["t"].slowdown <= 1, test.tried)
+		})
+	}
+}
+
 // TestShortenedAcquire: a queued Acquire that is sent again with an earlier deadline is refused at
 // once if it is not expected to end by then; one that was delayed on its way keeps its own.
 func TestShortenedAcquire(t *testing.T) {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -283,6 +283,7 @@
 		fingerprint: a.waiter.Fingerprint,
 		watch:       a.waiter.Watch,
 		queued:      a.target.busy(now) >= a.target.slots(),
+		probe:       a.target.probeDue(now) && time.Duration(a.target.slowdown*float64(a.waiter.mean)) > a.waiter.deadline.Sub(now),
 		confirmedAt: now,
 	}
 	a.target.running[t.key] = t
@@ -333,6 +334,9 @@
 		}
 		p.class(t.class).add(took)
 		s.observe(now, ratio, false)
+		if t.probe {
+			s.replaceSlowdown(ratio)
+		}
 	case ResultFailed, ResultBusy, ResultCut:
 		slow, _ := s.decayed(now)
 		s.observe(now, slow, true)
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -206,7 +206,7 @@
 	left := w.deadline.Sub(r.now)
 	limited := c.limitWait(r.tokensNeeded(c, w)) > 0
 	if r.hasFree() && !limited {
-		return cost > left
+		return cost > left && !c.probeDue(r.now)
 	}
 	if r.pressure > maxPressure || limited && c.limiter.contention > maxPressure {
 		return true
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -203,6 +203,21 @@
 	return n
 }
 
+// probeInterval is the time without a sample after which an idle target gets a request that is
+// not expected to end in time.
+const probeInterval = time.Second
+
+// probeDue reports whether the statistics of an idle target are so old that a request is sent for
+// a new sample. While all requests are refused there is none, and a target that was slow once
+// would get no request for long.
+func (s *targetState) probeDue(now time.Time) bool {
+	return len(s.running) == 0 && now.Sub(s.updatedAt) >= probeInterval
+}
+
+// replaceSlowdown replaces the target's slowdown by that of a request that was sent for a new
+// sample, if it is lower.
+func (s *targetState) replaceSlowdown(ratio float64) { s.slowdown = min(s.slowdown, max(ratio, 1)) }
+
 // warmUpFactor is the assumed slowdown of a target during warm-up, while its own times
 // do not show it yet.
 const warmUpFactor = 1.5
@@ -257,6 +272,8 @@
 	// cold is set if the request is for a cold key: its time is no sample of the
 	// service time.
 	cold bool
+	// probe is set if the request was sent for a new sample: it was not expected to end in time.
+	probe bool
 	// fingerprint and watch are those of the Acquire.
 	fingerprint quarantine.Fingerprint
 	watch       Watch
