--- a/review/stand3/moved.go
+++ b/review/stand3/moved.go
@@ -11,15 +11,17 @@
 )
 
 const (
-	// movedServers is the number of servers with keys; one of them is less than 0.15 of them.
-	movedServers = 7
+	// movedServers is the number of servers with keys, movedRounds how many of them drain at most,
+	// one after the other: a quarter. One is always less than 0.15 of those that are up.
+	movedServers = 12
+	movedRounds  = 3
 	// settleTime is the time before the first round.
 	settleTime = 8 * time.Second
 	// restartTime is how long a server that has ended takes to start again.
 	restartTime = 50 * time.Millisecond
 	// The moment of a restart: just after the server has taken a renewal, and shortly before the
 	// hosts read the store again. With MOMENT=random it is any moment.
-	justRenewed = 40 * time.Millisecond
+	justRenewed = 60 * time.Millisecond
 	readSoon    = 560 * time.Millisecond
 	readLatest  = 640 * time.Millisecond
 	// reuseAfter is reuse_after_s, and a second.
@@ -27,14 +29,12 @@
 	// minLowest is the least lowest key of the server that restarts.
 	minLowest = 30_000
 	// quietTime is how long the keys of the server that restarts are not requested before.
-	quietTime = 4 * time.Second
+	quietTime = 6 * time.Second
 	busyTime  = 8 * time.Second
-	// betweenRounds is the time in which a new server gets its part of the keys.
+	// betweenRounds is the time in which the load settles.
 	betweenRounds = 6 * time.Second
 	// ownersTime bounds the wait until the lowest and the highest keys have owners of their own.
 	ownersTime = 20 * time.Second
-	// movedTime is when the last round begins.
-	movedTime = 60 * time.Second
 )
 
 // runMoved lets a server end and start again under its id at another address while another one
@@ -57,22 +57,19 @@
 	watched := newHolders(c)
 	go watched.run(ctx)
 	l := newLoad(c)
-	go l.run(ctx, 6, 100*time.Millisecond)
+	go l.run(ctx, 12, 60*time.Millisecond)
 	time.Sleep(settleTime)
 	var busy key.Range
-	for round, start := 1, time.Now(); ; round++ {
+	for round := 1; ; round++ {
 		keys, again, err := c.restartRound(l, round, trouble)
 		if err != nil {
 			return nil, err
 		}
 		busy = keys
-		if again || !trouble || time.Since(start) > movedTime {
+		if again || !trouble || round == movedRounds {
 			break
 		}
 		l.keys.Store(&key.Range{Last: key.Points - 1})
-		if _, err := c.addServer(fmt.Sprintf("i-new-%d", round), rangedService, round, netip.AddrPort{}); err != nil {
-			return nil, err
-		}
 		time.Sleep(betweenRounds)
 	}
 	c.record.printf("only the keys %s are requested, often", busy)
@@ -138,21 +135,32 @@
 	return nil
 }
 
-// chooseServers returns the server of the lowest keys, and another one that holds the highest
-// keys, up to top; nil if there are none.
+// chooseServers returns the server of the lowest keys, and another one of high keys, up to top,
+// that holds no lower ones; nil if there are none.
 func (c *cluster) chooseServers() (drained, restarted *server, top key.Point) {
 	drained = c.holder(0)
 	if drained == nil {
 		return nil, nil, 0
 	}
 	for p := key.Point(key.Points - 1); p > minLowest; p -= holdersStep {
-		if s := c.holder(p); s != nil && s != drained && s.lowestKey(p) > minLowest {
+		if s := c.holder(p); s != nil && s != drained && s.lowestKey(p) > minLowest && !s.holdsBelow(s.lowestKey(p)) {
 			return drained, s, p
 		}
 	}
 	return drained, nil, 0
 }
 
+// holdsBelow reports whether the server holds a key below p.
+func (s *server) holdsBelow(p key.Point) bool {
+	now := time.Now()
+	for q := key.Point(0); q < p; q += holdersStep {
+		if s.holdsNow(now, q) {
+			return true
+		}
+	}
+	return false
+}
+
 // lowestKey returns the first key from which on the server holds all up to top.
 func (s *server) lowestKey(top key.Point) key.Point {
 	now, p := time.Now(), top
