--- a/review/stand3/servers.go
+++ b/review/stand3/servers.go
@@ -1,12 +1,17 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
+	"maps"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -36,6 +41,8 @@
 	mu        sync.Mutex
 	up        bool
 	grantedAt time.Time
+	// running counts the requests in progress by key.
+	running map[key.Point]int
 }
 
 // addServer starts a server and registers it.
@@ -75,14 +82,14 @@
 	r.OnRun = func(req *http.Request) {
 		c.record.printf("%s at %s runs %s", name, addr, req.Header.Get(platform.HeaderNames().Request))
 	}
-	s := &server{Server: platformfake.NewServer(r), c: c, service: service, zone: zone, addr: addr, born: time.Now().UnixMilli(), up: true}
+	s := &server{Server: platformfake.NewServer(r), c: c, service: service, zone: zone, addr: addr, born: time.Now().UnixMilli(), up: true, running: make(map[key.Point]int)}
 	s.OnGrant = func(span key.Range) {
 		s.mu.Lock()
 		s.grantedAt = time.Now()
 		s.mu.Unlock()
 		c.record.printf("%s at %s holds %s", name, addr, span)
 	}
-	s.http = &http.Server{Handler: s}
+	s.http = &http.Server{Handler: http.HandlerFunc(s.serve)}
 	go func() { _ = s.http.Serve(l) }()
 	c.record.printf("%s of %s starts at %s", name, service, addr)
 	c.mu.Lock()
@@ -91,6 +98,57 @@
 	return s, nil
 }
 
+// serve serves a request or an order. A release is answered once the work on its keys has ended.
+func (s *server) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/release" {
+		point, _ := strconv.ParseUint(r.Header.Get(platform.HeaderNames().Key), 10, 16)
+		s.count(key.Point(point), 1)
+		defer s.count(key.Point(point), -1)
+		s.ServeHTTP(w, r)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	var in struct {
+		From key.Point `json:"from"`
+		To   key.Point `json:"to"`
+	}
+	if err := json.Unmarshal(body, &in); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	released := httptest.NewRecorder()
+	s.ServeHTTP(released, r)
+	for s.works(in.From, in.To) {
+		time.Sleep(time.Millisecond)
+	}
+	maps.Copy(w.Header(), released.Header())
+	w.WriteHeader(released.Code)
+}
+
+func (s *server) count(p key.Point, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running[p] += n; s.running[p] == 0 {
+		delete(s.running, p)
+	}
+}
+
+// works reports whether the server works on a request for a key of a range.
+func (s *server) works(first, last key.Point) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for p := range s.running {
+		if first <= p && p <= last {
+			return true
+		}
+	}
+	return false
+}
+
 // register writes the server's entry to the store.
 func (s *server) register(state string) error {
 	body, err := json.Marshal(map[string]any{
